Add the workspace, the design and the core packages

Cause: nothing existed yet.

Change: npm workspace built by tsc references that a script derives from the package.json files; result codes, logging, js-csp processes, metrics, settings, random numbers, invariants, and the schema of bundles. Conclusion: the decision packages can be written side by side against docs/design.md.

--- /dev/null
+++ b/bundle/schema/src/bundle.ts
@@ -0,0 +1,130 @@
+// The schema of a configuration bundle: one versioned document that describes the services, where
+// their servers are, and how guests are treated. Unknown keys are refused, so that a misspelt setting
+// is not silently without effect.
+import { z } from 'zod'
+
+/** How a server is chosen for a request. */
+export enum Policy {
+  Random = 'random',
+  RoundRobin = 'round-robin',
+  TwoChoicesOwn = 'two-choices-own',
+  TwoChoicesReported = 'two-choices-reported',
+  Omniscient = 'omniscient',
+  Ours = 'ours'
+}
+
+/** What happens to a request that needs a claim while the table service does not answer. */
+export enum StoreOutageRule {
+  Refuse = 'refuse',
+  Hold = 'hold'
+}
+
+/** Whether a non-idempotent route takes requests without an idempotency key. */
+export enum IdempotencyKeyRule {
+  Required = 'required',
+  Optional = 'optional'
+}
+
+export const maximumCallDepth = 22
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens, at most 63')
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'IP number and port, for example 127.0.0.1:8080')
+const pathPrefix = z.string().regex(/^\/[^\s?#]*$/, 'a path that starts with / and has no query')
+const milliseconds = z.number().positive().max(600_000)
+
+const dataCentreSchema = z.strictObject({
+  name,
+  region: name.default('default'),
+  /** Round trips to other data centres, in milliseconds; those not named count as 1 ms. */
+  roundTripMilliseconds: z.record(name, z.number().min(0).max(10_000)).default({})
+})
+
+const serverSchema = z.strictObject({
+  name,
+  address,
+  dataCentre: name,
+  slots: z.number().int().min(1).max(10_000),
+  connections: z.number().int().min(1).max(100_000).default(300)
+})
+
+const routeSchema = z.strictObject({
+  methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'])).min(1),
+  pathPrefix,
+  idempotent: z.boolean(),
+  idempotencyKey: z.enum(IdempotencyKeyRule).default(IdempotencyKeyRule.Optional),
+  deadlineMilliseconds: milliseconds.default(10_000),
+  guestClass: name.default('standard')
+})
+
+const serviceSchema = z.strictObject({
+  name,
+  pathPrefix,
+  servers: z.array(serverSchema).min(1),
+  routes: z.array(routeSchema).min(1),
+  policy: z.enum(Policy).default(Policy.Ours),
+  /** At most this many servers are used by one entry host. */
+  subsetSize: z.number().int().min(1).max(1_000).default(50),
+  maximumBodyBytes: z.number().int().min(0).max(1_073_741_824).default(1_048_576),
+  retry: z.strictObject({
+    maximumAttempts: z.number().int().min(1).max(10).default(3),
+    /** Further sends as a share of first sends, hedges included. */
+    budgetShare: z.number().min(0).max(1).default(0.1)
+  }).prefault({}),
+  hedging: z.strictObject({
+    enabled: z.boolean().default(true),
+    percentile: z.number().min(50).max(99.99).default(95)
+  }).prefault({}),
+  limits: z.strictObject({
+    /** Requests that wait at one entry host for a slot. */
+    queueLength: z.number().int().min(0).max(100_000).default(100)
+  }).prefault({}),
+  storeOutage: z.enum(StoreOutageRule).default(StoreOutageRule.Refuse),
+  /** How long a record of a non-idempotent request is kept after its last change. */
+  recordLifetimeSeconds: z.number().int().min(60).max(31_536_000).default(86_400),
+  /** The longest time after which a guest still sends a request again. */
+  resendSeconds: z.number().int().min(1).max(15_768_000).default(3_600)
+})
+
+const measuringSchema = z.strictObject({
+  probesPerSecond: z.number().int().min(0).max(100_000).default(200),
+  bytesPerSecond: z.number().int().min(0).max(100_000_000).default(100_000),
+  /** Share of one core, 0.018 is 1.8 %. */
+  coreShare: z.number().min(0).max(1).default(0.018),
+  /** Probes started for each request, on average. */
+  probesPerRequest: z.number().min(0).max(10).default(0.5),
+  shareReportsWithPeers: z.boolean().default(true)
+})
+
+const bundleSchema = z.strictObject({
+  formatVersion: z.literal(1),
+  name,
+  version: z.number().int().min(1).max(Number.MAX_SAFE_INTEGER),
+  /** Digest of the bundle that this one replaces, null for the first. */
+  previousDigest: z.string().regex(/^[0-9a-f]{64}$/).nullable(),
+  dataCentres: z.array(dataCentreSchema).min(1),
+  /** Guest classes from the most to the least important. */
+  guestClasses: z.array(name).min(1).default(['standard']),
+  platform: z.strictObject({
+    tableWritesPerSecond: z.number().positive().max(1_000_000).default(300),
+    tableReadsPerSecond: z.number().positive().max(1_000_000).default(2_000),
+    /** How long a claim waits for the table service before the outage rule applies. */
+    tableAnswerMilliseconds: milliseconds.default(300)
+  }).prefault({}),
+  entryAddresses: z.strictObject({
+    timeToLiveSeconds: z.number().int().min(1).max(3_600).default(10),
+    maximumAddresses: z.number().int().min(1).max(64).default(6)
+  }).prefault({}),
+  measuring: measuringSchema.prefault({}),
+  services: z.array(serviceSchema).min(1)
+})
+
+export const bundleShape = bundleSchema
+
+/** A checked bundle, defaults filled in. */
+export type Bundle = z.output<typeof bundleSchema>
+/** A bundle as an operator writes it, defaults left out. */
+export type BundleInput = z.input<typeof bundleSchema>
+export type DataCentrePlace = Bundle['dataCentres'][number]
+export type ServiceRule = Bundle['services'][number]
+export type ServerPlace = ServiceRule['servers'][number]
+export type RouteRule = ServiceRule['routes'][number]
+export type MeasuringRule = Bundle['measuring']
--- /dev/null
+++ b/core/settings/src/readSettings.ts
@@ -0,0 +1,112 @@
+// Settings of a process from flags and environment variables. Each setting has one definition, from
+// which the flag, the variable, the check and the help text are made. A flag goes before its variable.
+import { Command, Option } from 'commander'
+import { z } from 'zod'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
+
+/** Where the value of a setting comes from. */
+export enum SettingSource {
+  Flag = 'flag',
+  Environment = 'environment',
+  Default = 'default'
+}
+
+/** One setting. `check` reads text and gives the value. */
+export interface SettingDefinition<Value = unknown> {
+  flag: string
+  description: string
+  check: z.ZodType<Value>
+  default?: string
+  /** Never printed, logged or dumped. */
+  secret?: boolean
+  required?: boolean
+}
+
+export type SettingDefinitions = Record<string, SettingDefinition>
+export type SettingValues<Definitions extends SettingDefinitions> = {
+  [Name in keyof Definitions]: z.output<Definitions[Name]['check']>
+}
+
+export interface ReadSettingsOptions<Definitions extends SettingDefinitions> {
+  program: string
+  description: string
+  definitions: Definitions
+  /** Arguments without the interpreter and the script. */
+  arguments: string[]
+  environment: Record<string, string | undefined>
+  version?: string
+}
+
+export interface ReadSettings<Definitions extends SettingDefinitions> {
+  values: SettingValues<Definitions>
+  sources: Record<keyof Definitions, SettingSource>
+  /** Lines that `--print-settings` shows: value and source of each, secrets masked. */
+  print: () => string
+  printRequested: boolean
+}
+
+const environmentPrefix = 'SISKINBEAM_'
+
+/** Name of the environment variable of a flag: --guest-address is SISKINBEAM_GUEST_ADDRESS. */
+export function nameEnvironmentVariable (flag: string): string {
+  return environmentPrefix + flag.toUpperCase().replaceAll('-', '_')
+}
+
+/** Reads and checks all settings; the first wrong one gives its result code, key and what was expected. */
+export function readSettings<Definitions extends SettingDefinitions> (options: ReadSettingsOptions<Definitions>): Result<ReadSettings<Definitions>> {
+  const command = createCommand(options)
+  try {
+    command.parse(options.arguments, { from: 'user' })
+  } catch (error) {
+    return fail(ResultCode.SettingInvalid, String((error as Error).message).replace(/^error: /, ''), { key: 'flags', expected: 'flags that --help lists' })
+  }
+  const flags = command.opts<Record<string, string | boolean>>()
+  const entries = Object.entries(options.definitions).map(([name, definition]) =>
+    ({ name, definition, ...findText(definition, flags, options.environment) }))
+  const missing = entries.find(({ definition, text }) => text === undefined && definition.required === true)
+  if (missing !== undefined) {
+    return fail(ResultCode.SettingMissing, `setting ${missing.definition.flag} is missing`, { key: missing.definition.flag, expected: describeSource(missing.definition) })
+  }
+  const checked = entries.map(entry => ({ ...entry, outcome: entry.definition.check.safeParse(entry.text) }))
+  const wrong = checked.find(({ outcome }) => !outcome.success)
+  if (wrong !== undefined) {
+    const expected = wrong.outcome.error?.issues[0]?.message ?? 'another value'
+    return fail(ResultCode.SettingInvalid, `setting ${wrong.definition.flag} from ${wrong.source} is invalid`, { key: wrong.definition.flag, expected })
+  }
+  return succeed({
+    values: Object.fromEntries(checked.map(({ name, outcome }) => [name, outcome.data])) as SettingValues<Definitions>,
+    sources: Object.fromEntries(checked.map(({ name, source }) => [name, source])) as Record<keyof Definitions, SettingSource>,
+    print: () => checked
+      .map(({ definition, text, source }) => `${definition.flag}=${definition.secret === true && text !== undefined ? '(secret)' : text ?? ''} source=${source}`)
+      .join('\n'),
+    printRequested: flags.printSettings === true
+  })
+}
+
+function createCommand (options: ReadSettingsOptions<SettingDefinitions>): Command {
+  const command = new Command(options.program)
+    .description(options.description)
+    .allowExcessArguments(false)
+    .exitOverride()
+    .configureOutput({ writeErr: () => {} })
+    .option('--print-settings', 'print each setting with its source, then exit')
+  if (options.version !== undefined) command.version(options.version)
+  Object.values(options.definitions).forEach(definition => {
+    const fallback = definition.default === undefined ? '' : `, default ${definition.default}`
+    command.addOption(new Option(`--${definition.flag} <value>`, `${definition.description} (${nameEnvironmentVariable(definition.flag)}${fallback})`))
+  })
+  return command
+}
+
+function findText (definition: SettingDefinition, flags: Record<string, string | boolean>, environment: Record<string, string | undefined>): { text: string | undefined, source: SettingSource } {
+  const flag = flags[definition.flag.replace(/-(.)/g, (_, letter: string) => letter.toUpperCase())]
+  if (typeof flag === 'string') return { text: flag, source: SettingSource.Flag }
+  const variable = environment[nameEnvironmentVariable(definition.flag)]
+  if (variable !== undefined) return { text: variable, source: SettingSource.Environment }
+  return { text: definition.default, source: SettingSource.Default }
+}
+
+function describeSource (definition: SettingDefinition): string {
+  return `--${definition.flag} or ${nameEnvironmentVariable(definition.flag)}`
+}
