Serve a request from a guest through an entry host to a server and back

Cause: the request path did not exist. Ruled out: asynchronous functions as filters (a promise per stage and request), and answers collected whole before their relay (they would add latency and memory).

A retry happens only if the request is idempotent or the server provably did not start it.

--- /dev/null
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -0,0 +1,116 @@
+// One send of a request to one server. The outcome says whether the server may have started it,
+// because only then is it certain whether the request may be sent again.
+import { request as sendRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { ServerRuntime } from '../servers/serviceRuntime.js'
+import type { Exchange } from './exchange.js'
+
+/** How a send ended. */
+export enum AttemptEnd {
+  /** The head of the answer is here. */
+  Answered = 'answered',
+  /** The server refused before it started the request, or no byte reached it. */
+  NotStarted = 'not-started',
+  /** The connection broke after bytes were written. */
+  Broken = 'broken',
+  /** The answer is not HTTP, or belongs to another request. */
+  Malformed = 'malformed'
+}
+
+export type AttemptOutcome =
+  | { kind: AttemptEnd.Answered, answer: IncomingMessage }
+  | { kind: AttemptEnd.NotStarted, reason: string, answer?: IncomingMessage }
+  | { kind: AttemptEnd.Broken, reason: string }
+  | { kind: AttemptEnd.Malformed, reason: string }
+
+export interface SendAttemptOptions {
+  exchange: Exchange
+  server: ServerRuntime
+  headers: Record<string, string | string[]>
+  /** Asked right before the first byte is written; false gives up the send. */
+  maySend: () => boolean
+  onOutcome: (outcome: AttemptOutcome) => void
+  onWritten?: () => void
+}
+
+/** A send in progress. */
+export interface Attempt {
+  /** Closes the connection, which cancels the request at the server. */
+  cancel: () => void
+  openedAt: () => number | undefined
+}
+
+/** Sends the request once. `onOutcome` is called exactly once unless the attempt is cancelled. */
+export function sendAttempt (options: SendAttemptOptions): Attempt {
+  const { exchange, server, onOutcome } = options
+  let written = false
+  let settled = false
+  let openedAt: number | undefined
+  const settle = (outcome: AttemptOutcome): void => {
+    if (settled) return
+    settled = true
+    onOutcome(outcome)
+  }
+  const outgoing: ClientRequest = sendRequest({
+    host: server.host,
+    port: server.port,
+    method: exchange.request.method,
+    path: exchange.request.url,
+    headers: options.headers,
+    agent: server.connections
+  })
+  const write = (): void => {
+    if (settled) return
+    if (!options.maySend()) {
+      outgoing.destroy()
+      settle({ kind: AttemptEnd.NotStarted, reason: 'the right to send has lapsed' })
+      return
+    }
+    written = true
+    options.onWritten?.()
+    if (exchange.body === null) exchange.request.pipe(outgoing)
+    else outgoing.end(exchange.body)
+  }
+  outgoing.on('socket', (socket: Socket) => {
+    openedAt = server.connections.noteSocket(socket).openedAt
+    if (socket.connecting) socket.once('connect', write)
+    else write()
+  })
+  outgoing.on('response', answer => {
+    const echoed = answer.headers['siskinbeam-request-id']
+    if (echoed !== undefined && echoed !== exchange.requestId) {
+      outgoing.destroy()
+      settle({ kind: AttemptEnd.Malformed, reason: 'the answer belongs to another request' })
+      return
+    }
+    if (!outgoing.writableFinished && answer.statusCode !== undefined && answer.statusCode < 400) {
+      // An answer to a request that is not yet written whole can't be its answer.
+      if (exchange.body !== null) {
+        outgoing.destroy()
+        settle({ kind: AttemptEnd.Malformed, reason: 'the answer came before the request was sent' })
+        return
+      }
+    }
+    if (answer.statusCode === 503 && answer.headers['not-started'] === 'true') {
+      answer.resume()
+      settle({ kind: AttemptEnd.NotStarted, reason: 'the server refused', answer })
+      return
+    }
+    settle({ kind: AttemptEnd.Answered, answer })
+  })
+  outgoing.on('error', (error: NodeJS.ErrnoException) => {
+    const reason = error.code ?? error.message
+    if (!written) settle({ kind: AttemptEnd.NotStarted, reason })
+    else if (reason.startsWith('HPE_')) settle({ kind: AttemptEnd.Malformed, reason })
+    else settle({ kind: AttemptEnd.Broken, reason })
+  })
+  outgoing.on('close', () => settle({ kind: written ? AttemptEnd.Broken : AttemptEnd.NotStarted, reason: 'the connection closed' }))
+  return {
+    cancel: () => {
+      settled = true
+      outgoing.on('error', () => {})
+      outgoing.destroy()
+    },
+    openedAt: () => openedAt
+  }
+}
--- /dev/null
+++ b/daemon/entry-host/test/support/startPath.ts
@@ -0,0 +1,78 @@
+// Starts an entry host in this process before servers that a test controls byte by byte.
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { setViolationHandler } from '@siskinbeam/invariants/checkInvariant'
+import { LogLevel } from '@siskinbeam/logging/createLogger'
+import { checkBundle } from '@siskinbeam/schema/checkBundle'
+import type { BundleInput } from '@siskinbeam/schema/bundle'
+import { startEntryHost, type RunningEntryHost } from '../../src/startEntryHost.js'
+
+/** A server that answers each request as the function given says. */
+export interface ScriptedServer {
+  address: string
+  requests: string[]
+  stop: () => Promise<void>
+}
+
+/** Starts a server that gives the raw text of each request to `answer`. */
+export async function startScriptedServer (answer: (socket: Socket, requestText: string) => void): Promise<ScriptedServer> {
+  const requests: string[] = []
+  const sockets = new Set<Socket>()
+  const server: Server = createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('data', data => {
+      requests.push(data.toString())
+      answer(socket, data.toString())
+    })
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    requests,
+    stop: () => new Promise(resolve => {
+      sockets.forEach(socket => socket.destroy())
+      server.close(() => resolve())
+    })
+  }
+}
+
+/** A bundle with one service at /desk on the servers given. */
+export function makeBundle (addresses: string[], change: (service: any) => void = () => {}): BundleInput {
+  const service = {
+    name: 'desk',
+    pathPrefix: '/desk',
+    servers: addresses.map((address, position) => ({ name: `desk-${position + 1}`, address, dataCentre: 'north', slots: 3 })),
+    routes: [
+      { methods: ['GET', 'HEAD', 'POST'], pathPrefix: '/desk', idempotent: true, deadlineMilliseconds: 2_000 },
+      { methods: ['POST'], pathPrefix: '/desk/bookings', idempotent: false, deadlineMilliseconds: 2_000 }
+    ]
+  }
+  change(service)
+  return { formatVersion: 1, name: 'test', version: 1, previousDigest: null, dataCentres: [{ name: 'north' }], services: [service as never] }
+}
+
+/** Starts an entry host with the bundle in force. */
+export async function startPath (input: BundleInput): Promise<RunningEntryHost> {
+  setViolationHandler()
+  const bundle = checkBundle(input)
+  if (!bundle.ok) throw new Error(bundle.error.message)
+  const running = await startEntryHost({ name: 'entry-1', guestAddress: '127.0.0.1:0', seed: 1, logLevel: LogLevel.Error })
+  running.putBundleInForce(bundle.value, 'test')
+  return running
+}
+
+/** Sends raw text and gives all that comes back until the connection closes or is idle. */
+export function exchangeRaw (address: string, text: string, idleMilliseconds = 400): Promise<{ received: string, closed: boolean }> {
+  const [host, port] = address.split(':')
+  return new Promise(resolve => {
+    const socket = connect(Number(port), host)
+    let received = ''
+    let closed = false
+    socket.setTimeout(idleMilliseconds, () => socket.destroy())
+    socket.on('data', data => { received += data.toString() })
+    socket.on('error', () => {})
+    socket.on('end', () => { closed = true })
+    socket.on('close', () => resolve({ received, closed }))
+    socket.write(text)
+  })
+}
