--- a/stand-ins/server/src/serveServer.ts
+++ b/stand-ins/server/src/serveServer.ts
@@ -4,6 +4,7 @@
 import { appendFileSync } from 'node:fs'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { performance } from 'node:perf_hooks'
 import { createRandom, drawLognormal } from '@siskinbeam/random/createRandom'
 import type { SettingValues } from '@siskinbeam/settings/readSettings'
 import { splitAddress } from '@siskinbeam/settings/settingChecks'
@@ -105,6 +106,7 @@
     const requestId = String(request.headers['siskinbeam-request-id'] ?? '')
     const key = request.headers['idempotency-key'] === undefined ? null : String(request.headers['idempotency-key'])
     let timer: NodeJS.Timeout | undefined
+    const receivedAt = performance.now()
     let receivedBytes = 0
     const startRun = (): void => {
       const deadlineAt = Number(request.headers['siskinbeam-deadline-at'] ?? Infinity)
@@ -128,7 +130,8 @@
         meanLatency += latencyWeight * (serviceTime - meanLatency)
         slots.finish(job)
         const body = JSON.stringify({ server: options.name, service: options.service, requestId, key, path: request.url, receivedBytes })
-        afterNetworkDelay(request, () => answer(request, response, 200, { 'content-type': 'application/json', 'siskinbeam-request-id': requestId }, body.padEnd(options.answerBytes)))
+        const headers = { 'content-type': 'application/json', 'siskinbeam-request-id': requestId, 'server-timing': `total;dur=${(performance.now() - receivedAt).toFixed(3)}` }
+        afterNetworkDelay(request, () => answer(request, response, 200, headers, body.padEnd(options.answerBytes)))
       }, serviceTime)
     }
     const job: Job = { start: startRun }
