--- /dev/null
+++ b/claims/group-commit/src/stepGroupCommit.ts
@@ -0,0 +1,173 @@
+// Commits the claim writes of one host in few transactions, one in flight at a time. A transaction
+// without an answer is repeated unchanged until the answer is definite, because its first copy may take
+// effect at any time. A definite answer to one copy is definite for all: each write is conditional on a
+// row version that occurs once, so after one copy was applied, or failed on a changed row, no other copy
+// can be applied.
+import { ClaimWriteKind, WriteResultKind, type ClaimWrite, type WriteResult } from '@siskinbeam/request-claims/claimMessages'
+import { decodeClaimRow, encodeClaimRow, type StoredRow } from '@siskinbeam/request-claims/claimRow'
+import { isGroupDue, takeGroup } from './chooseGroup.js'
+import {
+  burstTransactions, countQueued, longestSpacingMilliseconds, settlementWaitMilliseconds, shortestRepeatMilliseconds,
+  type GroupCommitState, type QueuedWrite, type Transaction
+} from './groupCommitState.js'
+import {
+  GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind,
+  type GroupCommitCommand, type GroupCommitEvent, type TransactionResult
+} from './groupCommitMessages.js'
+
+const millisecondsPerSecond = 1_000
+/** Approximate size of a row without its stored body. */
+const rowBytes = 512
+
+export interface StepGroupCommitOptions {
+  state: GroupCommitState
+  event: GroupCommitEvent
+  /** Monotonic milliseconds. */
+  now: number
+}
+
+/** Advances the group commit by one event and gives what is to be done, in order. */
+export function stepGroupCommit ({ state, event, now }: StepGroupCommitOptions): GroupCommitCommand[] {
+  refill(state, now)
+  const handle = eventHandlers[event.kind] as Handler<GroupCommitEvent>
+  return [...handle(state, event, now), ...sendNext(state, now)]
+}
+
+type Handler<Event> = (state: GroupCommitState, event: Event, now: number) => GroupCommitCommand[]
+type EventHandlers = { [Kind in GroupCommitEventKind]: Handler<Extract<GroupCommitEvent, { kind: Kind }>> }
+
+const eventHandlers: EventHandlers = {
+  [GroupCommitEventKind.Offer]: (state, { write }, now) => {
+    const limit = write.kind === ClaimWriteKind.Claim ? state.maximumQueuedClaims : 2 * state.maximumQueuedClaims
+    if (countQueued(state) >= limit) return [report(write, { kind: WriteResultKind.Refused })]
+    const deferred = write.kind === ClaimWriteKind.Settle || write.kind === ClaimWriteKind.Release
+    const queue = deferred ? state.deferred : state.urgent
+    queue.push({ write, offeredAt: now, bytes: rowBytes + write.key.length + (write.row.answer?.body?.length ?? 0), repeats: 0 })
+    return []
+  },
+  // A queued write was never sent, or a definite answer showed that it was not applied.
+  [GroupCommitEventKind.Withdraw]: (state, { writeId }) => {
+    const queue = [state.repeated, state.urgent, state.deferred].find(candidate => candidate.some(({ write }) => write.writeId === writeId))
+    if (queue === undefined) return []
+    return queue
+      .splice(queue.findIndex(({ write }) => write.writeId === writeId), 1)
+      .map(({ write }) => report(write, { kind: WriteResultKind.Withdrawn }))
+  },
+  [GroupCommitEventKind.TransactionDone]: (state, { transaction, result }, now) => {
+    const { current } = state
+    if (current === undefined || current.number !== transaction || current.repeatAt !== undefined) return []
+    const handle = resultHandlers[result.kind] as ResultHandler<TransactionResult>
+    return handle(state, current, result, now)
+  },
+  [GroupCommitEventKind.Wake]: () => [],
+  [GroupCommitEventKind.SetRate]: (state, { transactionsPerSecond }) => {
+    state.transactionsPerSecond = transactionsPerSecond
+    return []
+  },
+  [GroupCommitEventKind.Flush]: state => {
+    state.flushing = true
+    return []
+  }
+}
+
+type ResultHandler<Answer> = (state: GroupCommitState, current: Transaction, result: Answer, now: number) => GroupCommitCommand[]
+type ResultHandlers = { [Kind in TransactionResultKind]: ResultHandler<Extract<TransactionResult, { kind: Kind }>> }
+
+const resultHandlers: ResultHandlers = {
+  [TransactionResultKind.Committed]: (state, { writes }, { versions, tableTimeMilliseconds }, now) => {
+    noteAnswer(state, tableTimeMilliseconds, now)
+    return writes.map(({ write }) => report(write, { kind: WriteResultKind.Held, version: versions.get(write.key) ?? 0 }))
+  },
+  [TransactionResultKind.ConditionFailed]: (state, { writes }, { rows, tableTimeMilliseconds }, now) => {
+    noteAnswer(state, tableTimeMilliseconds, now)
+    const others = writes.filter(({ write }) => !rows.has(write.key))
+    state.repeated.push(...others.map(queued => ({ ...queued, repeats: queued.repeats + 1 })))
+    return writes
+      .filter(({ write }) => rows.has(write.key))
+      .map(({ write }) => report(write, judgeFailedWrite(write, rows.get(write.key) ?? null, tableTimeMilliseconds)))
+  },
+  [TransactionResultKind.RateLimited]: (state, current, _result, now) => {
+    const shortest = millisecondsPerSecond / state.transactionsPerSecond
+    state.spacingMilliseconds = Math.min(Math.max(2 * state.spacingMilliseconds, shortest), longestSpacingMilliseconds)
+    state.notBefore = now + state.spacingMilliseconds
+    // After a lost response an earlier copy may still take effect, so the group must stay as it is.
+    if (current.unanswered > 0) {
+      current.repeatAt = state.notBefore
+      return []
+    }
+    delete state.current
+    state.repeated.push(...current.writes)
+    return []
+  },
+  [TransactionResultKind.Unanswered]: (_state, current, _result, now) => {
+    current.repeatAt = now + Math.min(shortestRepeatMilliseconds * 2 ** current.unanswered, longestSpacingMilliseconds)
+    current.unanswered += 1
+    return []
+  }
+}
+
+/** A write whose condition failed holds all the same if the row already has its state: an earlier copy was applied. */
+function judgeFailedWrite (write: ClaimWrite, stored: StoredRow | null, tableTimeMilliseconds: number): WriteResult {
+  const row = stored === null ? undefined : decodeClaimRow(stored.value)
+  if (stored !== null && row !== undefined && row.attempt === write.row.attempt && row.state === write.row.state) {
+    return { kind: WriteResultKind.Held, version: stored.version }
+  }
+  return { kind: WriteResultKind.ConditionFailed, row: stored, tableTimeMilliseconds }
+}
+
+function noteAnswer (state: GroupCommitState, tableTimeMilliseconds: number, now: number): void {
+  // The send time is the earliest instant that the service's time can refer to, so a slow answer
+  // makes leases longer and never shorter.
+  state.tableTimeOffsetMilliseconds = tableTimeMilliseconds - (state.current?.sentAt ?? now)
+  state.spacingMilliseconds = state.spacingMilliseconds < millisecondsPerSecond / state.transactionsPerSecond ? 0 : state.spacingMilliseconds / 2
+  state.notBefore = now + state.spacingMilliseconds
+  delete state.current
+}
+
+function refill (state: GroupCommitState, now: number): void {
+  const added = (now - state.refilledAt) * state.transactionsPerSecond / millisecondsPerSecond
+  state.tokens = Math.min(state.tokens + added, burstTransactions)
+  state.refilledAt = now
+}
+
+function sendNext (state: GroupCommitState, now: number): GroupCommitCommand[] {
+  const { current } = state
+  if (current !== undefined && current.repeatAt === undefined) return []
+  const oldest = state.deferred[0]
+  const due = current !== undefined || isGroupDue(state, now)
+  if (!due && oldest === undefined) return []
+  const at = Math.max(
+    due ? now : (oldest as QueuedWrite).offeredAt + settlementWaitMilliseconds,
+    current?.repeatAt ?? now,
+    state.notBefore,
+    now + Math.max(0, 1 - state.tokens) * millisecondsPerSecond / state.transactionsPerSecond
+  )
+  if (at > now) return [{ kind: GroupCommitCommandKind.WakeAt, at }]
+  state.tokens -= 1
+  return [transact(state, current ?? startTransaction(state, now), now)]
+}
+
+function startTransaction (state: GroupCommitState, now: number): Transaction {
+  return { number: 0, writes: takeGroup(state, now), sentAt: now, unanswered: 0 }
+}
+
+// Each send has its own number, so that the result of an earlier send is not taken for that of this one.
+function transact (state: GroupCommitState, current: Transaction, now: number): GroupCommitCommand {
+  state.transactions += 1
+  state.current = { number: state.transactions, writes: current.writes, sentAt: now, unanswered: current.unanswered }
+  return {
+    kind: GroupCommitCommandKind.Transact,
+    transaction: state.transactions,
+    operations: current.writes.map(({ write }) => ({
+      kind: 'put',
+      key: write.key,
+      value: encodeClaimRow(write.row),
+      expectedVersion: write.expectedVersion,
+      expiresAtMilliseconds: write.expiresAtMilliseconds
+    }))
+  }
+}
+
+function report (write: ClaimWrite, result: WriteResult): GroupCommitCommand {
+  return { kind: GroupCommitCommandKind.Report, attempt: write.attempt, writeId: write.writeId, result }
+}
