--- a/claims/group-commit/src/stepGroupCommit.ts
+++ b/claims/group-commit/src/stepGroupCommit.ts
@@ -16,7 +16,7 @@
 } from './groupCommitMessages.js'
 
 const millisecondsPerSecond = 1_000
-/** Approximate size of a row without its stored body. */
+/** Approximate size of a row without its stored answer. */
 const rowBytes = 512
 
 export interface StepGroupCommitOptions {
@@ -42,7 +42,7 @@
     if (countQueued(state) >= limit) return [report(write, { kind: WriteResultKind.Refused })]
     const deferred = write.kind === ClaimWriteKind.Settle || write.kind === ClaimWriteKind.Release
     const queue = deferred ? state.deferred : state.urgent
-    queue.push({ write, offeredAt: now, bytes: rowBytes + write.key.length + (write.row.answer?.body?.length ?? 0), repeats: 0 })
+    queue.push({ write, offeredAt: now, bytes: estimateBytes(write), repeats: 0 })
     return []
   },
   // A queued write was never sent, or a definite answer showed that it was not applied.
@@ -106,6 +106,10 @@
   }
 }
 
+function estimateBytes ({ key, row: { answer } }: ClaimWrite): number {
+  return rowBytes + key.length + (answer === undefined ? 0 : JSON.stringify(answer.headers).length + (answer.body?.length ?? 0))
+}
+
 /** A write whose condition failed holds all the same if the row already has its state: an earlier copy was applied. */
 function judgeFailedWrite (write: ClaimWrite, stored: StoredRow | null, tableTimeMilliseconds: number): WriteResult {
   const row = stored === null ? undefined : decodeClaimRow(stored.value)
