--- /dev/null
+++ b/daemon/entry-host/src/claims/startClaimService.ts
@@ -0,0 +1,192 @@
+// Runs the claims of one host: it drives the claim of each request and the group commit that they
+// share, and carries their reads and transactions to the table service. The group commit is a process,
+// since requests of the whole host wait for it; a claim itself is stepped by plain calls.
+import { alternatives, createChannel, createTimeout, offer, type ProcessBody } from '@siskinbeam/processes/channels'
+import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import type { Logger } from '@siskinbeam/logging/createLogger'
+import type { Metrics } from '@siskinbeam/metrics/createMetrics'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import type { TableClient, TransactResult } from '@siskinbeam/clients/createTableClient'
+import {
+  GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind, type GroupCommitCommand, type GroupCommitEvent, type PutOperation, type TransactionResult
+} from '@siskinbeam/group-commit/groupCommitMessages'
+import { countQueued, createGroupCommitState, isIdle } from '@siskinbeam/group-commit/groupCommitState'
+import { stepGroupCommit } from '@siskinbeam/group-commit/stepGroupCommit'
+import { ClaimCommandKind, ClaimEventKind, WriteResultKind, type ClaimCommand, type ClaimEvent } from '@siskinbeam/request-claims/claimMessages'
+import { ClaimPhase, createClaimState, maySend, type ClaimState, type CreateClaimStateOptions } from '@siskinbeam/request-claims/claimState'
+import { stepClaim } from '@siskinbeam/request-claims/stepClaim'
+import type { ClaimHandlers, RequestClaim } from './requestClaim.js'
+
+export interface StartClaimServiceOptions {
+  host: string
+  boot: string
+  table: TableClient
+  logger: Logger
+  metrics: Metrics
+  now: () => number
+  epochNow: () => number
+  transactionsPerSecond: number
+}
+
+/** Everything of a claim that its exchange knows. */
+export type StartClaimOptions = Omit<CreateClaimStateOptions, 'attempt' | 'tableTimeOffsetMilliseconds'>
+
+/** The claims of one host. */
+export interface ClaimService {
+  start: (options: StartClaimOptions, handlers: ClaimHandlers) => RequestClaim
+  setRate: (transactionsPerSecond: number) => void
+  /** Settlements no longer wait for others; resolves once nothing is outstanding. */
+  flush: () => Promise<void>
+  describe: () => Record<string, unknown>
+  stop: () => void
+}
+
+interface OpenClaim {
+  state: ClaimState
+  handlers: ClaimHandlers
+  timer: NodeJS.Timeout | undefined
+}
+
+// Beyond this the channel refuses, and the claim is answered as if the table service were out.
+const channelSize = 1_024
+const transactionTimeoutMilliseconds = 1_000
+const flushPollMilliseconds = 20
+const longestIdleMilliseconds = 60_000
+
+/** Starts the claim service. */
+export function startClaimService (options: StartClaimServiceOptions): ClaimService {
+  const { table, now, metrics } = options
+  const group = createGroupCommitState({ now: now(), transactionsPerSecond: options.transactionsPerSecond })
+  const events = createChannel<GroupCommitEvent>(channelSize)
+  const claims = new Map<string, OpenClaim>()
+  let sequence = 0
+  let wakeGroupAt = Infinity
+
+  const feed = (claim: OpenClaim, event: ClaimEvent): void => {
+    stepClaim({ state: claim.state, event, now: now() }).forEach(command => perform(claim, command))
+  }
+  const perform = (claim: OpenClaim, command: ClaimCommand): void => {
+    (claimCommands[command.kind] as (claim: OpenClaim, command: ClaimCommand) => void)(claim, command)
+  }
+  const claimCommands: { [Kind in ClaimCommandKind]: (claim: OpenClaim, command: Extract<ClaimCommand, { kind: Kind }>) => void } = {
+    [ClaimCommandKind.Write]: (claim, { write }) => {
+      if (offer(events, { kind: GroupCommitEventKind.Offer, write })) return
+      metrics.count('claim_writes_refused_total')
+      setImmediate(feed, claim, { kind: ClaimEventKind.WriteDone, writeId: write.writeId, result: { kind: WriteResultKind.Refused } })
+    },
+    [ClaimCommandKind.Withdraw]: (_claim, { writeId }) => { offer(events, { kind: GroupCommitEventKind.Withdraw, writeId }) },
+    [ClaimCommandKind.Read]: (claim, { key }) => {
+      table.read([key]).then(read => {
+        if (!read.ok) return feed(claim, { kind: ClaimEventKind.ReadFailed })
+        const row = read.value.rows.find(found => found.key === key)
+        feed(claim, { kind: ClaimEventKind.RowRead, row: row ?? null, tableTimeMilliseconds: read.value.timeMilliseconds })
+      }, () => feed(claim, { kind: ClaimEventKind.ReadFailed }))
+    },
+    [ClaimCommandKind.WakeAt]: (claim, { at }) => {
+      clearTimeout(claim.timer)
+      claim.timer = setTimeout(feed, Math.max(0, at - now()), claim, { kind: ClaimEventKind.Wake })
+    },
+    [ClaimCommandKind.Send]: claim => claim.handlers.onSend(),
+    [ClaimCommandKind.Answer]: (claim, { code, outcome, retryAfterMilliseconds }) =>
+      claim.handlers.onAnswer({ code, outcome, message: `claim of attempt ${claim.state.attempt}`, ...(retryAfterMilliseconds === undefined ? {} : { retryAfterMilliseconds }) }),
+    [ClaimCommandKind.Replay]: (claim, { answer }) => claim.handlers.onReplay(answer),
+    [ClaimCommandKind.Done]: claim => {
+      clearTimeout(claim.timer)
+      claims.delete(claim.state.attempt)
+    }
+  }
+
+  const groupCommands: { [Kind in GroupCommitCommandKind]: (command: Extract<GroupCommitCommand, { kind: Kind }>) => void } = {
+    [GroupCommitCommandKind.Transact]: ({ transaction, operations }) => {
+      metrics.count('claim_transactions_total')
+      metrics.count('claim_rows_total', operations.length)
+      const startedAt = now()
+      transact(table, operations).then(result => {
+        metrics.recordMilliseconds('claim_transaction_milliseconds', now() - startedAt)
+        offer(events, { kind: GroupCommitEventKind.TransactionDone, transaction, result })
+      }, () => offer(events, { kind: GroupCommitEventKind.TransactionDone, transaction, result: { kind: TransactionResultKind.Unanswered } }))
+    },
+    [GroupCommitCommandKind.Report]: ({ attempt, writeId, result }) => {
+      const claim = claims.get(attempt)
+      if (claim !== undefined) feed(claim, { kind: ClaimEventKind.WriteDone, writeId, result })
+    },
+    [GroupCommitCommandKind.WakeAt]: ({ at }) => { wakeGroupAt = at }
+  }
+  const stepGroup = (event: GroupCommitEvent): void => {
+    if (event.kind === GroupCommitEventKind.Wake) wakeGroupAt = Infinity
+    stepGroupCommit({ state: group, event, now: now() }).forEach(command => (groupCommands[command.kind] as (command: GroupCommitCommand) => void)(command))
+  }
+
+  const process = superviseProcess({
+    name: 'group-commit',
+    logger: options.logger,
+    body: function * (): ProcessBody {
+      while (true) {
+        const wait = Math.min(Math.max(0, wakeGroupAt - now()), longestIdleMilliseconds)
+        const { value } = yield alternatives([events, createTimeout(wait)])
+        stepGroup(value ?? { kind: GroupCommitEventKind.Wake })
+      }
+    }
+  })
+
+  return {
+    start: (claimOptions, handlers) => {
+      sequence += 1
+      const state = createClaimState({
+        ...claimOptions,
+        attempt: { host: options.host, boot: options.boot, sequence },
+        tableTimeOffsetMilliseconds: group.tableTimeOffsetMilliseconds ?? options.epochNow() - now()
+      })
+      const claim: OpenClaim = { state, handlers, timer: undefined }
+      claims.set(state.attempt, claim)
+      feed(claim, { kind: ClaimEventKind.Start })
+      return {
+        maySend: () => maySend({ state, now: now() }),
+        sendStarted: () => feed(claim, { kind: ClaimEventKind.SendStarted }),
+        notStarted: () => feed(claim, { kind: ClaimEventKind.NotStarted }),
+        answered: (status, headers, body) => feed(claim, { kind: ClaimEventKind.ServerAnswered, status, headers, body }),
+        sendFailed: code => feed(claim, { kind: ClaimEventKind.SendFailed, code }),
+        giveUp: code => feed(claim, { kind: ClaimEventKind.GiveUp, code }),
+        guestLeft: () => feed(claim, { kind: ClaimEventKind.GuestLeft })
+      }
+    },
+    setRate: transactionsPerSecond => { offer(events, { kind: GroupCommitEventKind.SetRate, transactionsPerSecond }) },
+    flush: () => new Promise(resolve => {
+      offer(events, { kind: GroupCommitEventKind.Flush })
+      const check = (): void => {
+        if (claims.size === 0 && isIdle(group)) resolve()
+        else setTimeout(check, flushPollMilliseconds)
+      }
+      check()
+    }),
+    describe: () => ({
+      open: claims.size,
+      byPhase: Object.fromEntries(Object.values(ClaimPhase).map(phase => [phase, [...claims.values()].filter(({ state }) => state.phase === phase).length])),
+      queuedWrites: countQueued(group),
+      transactionsPerSecond: group.transactionsPerSecond,
+      spacingMilliseconds: group.spacingMilliseconds,
+      unansweredSends: group.current?.unanswered ?? 0,
+      tableTimeOffsetMilliseconds: group.tableTimeOffsetMilliseconds
+    }),
+    stop: () => {
+      process.stop()
+      claims.forEach(({ timer }) => clearTimeout(timer))
+    }
+  }
+}
+
+const resultKindsByCode: Partial<Record<ResultCode, TransactionResultKind.RateLimited | TransactionResultKind.Unanswered>> = {
+  [ResultCode.TableRateLimited]: TransactionResultKind.RateLimited
+}
+
+async function transact (table: TableClient, operations: PutOperation[]): Promise<TransactionResult> {
+  return readTransactResult(await table.transact(operations, { timeoutMilliseconds: transactionTimeoutMilliseconds }))
+}
+
+function readTransactResult (result: TransactResult): TransactionResult {
+  if (result.ok) return { kind: TransactionResultKind.Committed, versions: result.value.versions, tableTimeMilliseconds: result.value.timeMilliseconds }
+  if (result.conflict !== undefined) {
+    return { kind: TransactionResultKind.ConditionFailed, rows: result.conflict.rows, tableTimeMilliseconds: result.conflict.timeMilliseconds }
+  }
+  return { kind: resultKindsByCode[result.error.code] ?? TransactionResultKind.Unanswered }
+}
--- /dev/null
+++ b/daemon/entry-host/src/controlLoops/watchBundles.ts
@@ -0,0 +1,162 @@
+// Keeps the newest accepted bundle in force: it drives the rollout machine, reads the head and bodies
+// from the platform, and asks peers.
+import { headKey, nameBodyKey, type BundleHead } from '@siskinbeam/rollout/bundleStores'
+import { BodySource, RolloutCommandKind, RolloutEventKind, type RolloutCommand, type RolloutEvent } from '@siskinbeam/rollout/rolloutMessages'
+import { createRolloutState, findDocument, mayServe, readHeadInForce, readRolloutStatus, type RolloutState, type RolloutStatus } from '@siskinbeam/rollout/rolloutState'
+import { stepRollout } from '@siskinbeam/rollout/stepRollout'
+import type { ObjectClient } from '@siskinbeam/clients/createObjectClient'
+import type { TableClient } from '@siskinbeam/clients/createTableClient'
+import type { FetchedBundle } from '@siskinbeam/exchange/servePeers'
+import type { PeerClients } from '@siskinbeam/exchange/createPeerClients'
+import type { Logger } from '@siskinbeam/logging/createLogger'
+import type { Metrics } from '@siskinbeam/metrics/createMetrics'
+import { sleep, type ProcessBody } from '@siskinbeam/processes/channels'
+import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import type { PeerMessage } from '@siskinbeam/protocol/peerMessage'
+import type { Random } from '@siskinbeam/random/createRandom'
+import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { formatSignedBundle, readSignedBundle } from '@siskinbeam/signatures/signedBundle'
+import type { TrustedKeys } from '@siskinbeam/signatures/signingKeys'
+import type { VerifiedBundle } from '@siskinbeam/signatures/verifySignedBundle'
+import { z } from 'zod'
+
+export interface WatchBundlesOptions {
+  trustedKeys: TrustedKeys
+  table: TableClient
+  objects: ObjectClient
+  peerClients: PeerClients
+  /** Live peers: name and peer address. */
+  listPeers: () => Array<{ host: string, peerAddress: string }>
+  listedHosts: () => number
+  logger: Logger
+  metrics: Metrics
+  now: () => number
+  random: Random
+  putInForce: (verified: VerifiedBundle) => void
+}
+
+/** The running watch. */
+export interface BundleWatch {
+  /** Whether requests may be taken: a bundle is in force and known to be current enough. */
+  mayServe: () => boolean
+  hearPeer: (message: PeerMessage) => void
+  fetchForPeer: (version: number) => Result<FetchedBundle>
+  head: () => BundleHead | undefined
+  status: () => RolloutStatus
+  stop: () => void
+}
+
+const tickMilliseconds = 200
+const digestPrefixLength = 16
+const headShape = z.object({ version: z.number().int().min(1), digest: z.string() })
+
+/** Starts the watch. */
+export function watchBundles (options: WatchBundlesOptions): BundleWatch {
+  const { table, objects, peerClients, logger, metrics, now, random } = options
+  const state: RolloutState = createRolloutState({ trustedKeys: options.trustedKeys, now: now() })
+  const askedPeers = new Set<string>()
+
+  const feed = (event: RolloutEvent): void => {
+    stepRollout({ state, event, now: now(), random }).forEach(command => (commandHandlers[command.kind] as (command: RolloutCommand) => void)(command))
+  }
+  const addressOf = (peer: string): string | undefined => options.listPeers().find(({ host }) => host === peer)?.peerAddress
+
+  const askPeer = (peer: string, request?: number): void => {
+    const address = addressOf(peer)
+    if (address === undefined || askedPeers.has(peer)) return
+    askedPeers.add(peer)
+    peerClients.get(address).status().then(status => {
+      askedPeers.delete(peer)
+      if (!status.ok) return
+      const { bundleVersion, bundleDigest } = status.value
+      feed({
+        kind: RolloutEventKind.PeerVersion,
+        peer,
+        head: bundleVersion === 0 ? null : { version: bundleVersion, digest: bundleDigest },
+        ...(request === undefined ? {} : { request })
+      })
+    }).catch(error => logger.error('peer status failed', { peer, reason: String(error) }))
+  }
+
+  const commandHandlers: { [Kind in RolloutCommandKind]: (command: Extract<RolloutCommand, { kind: Kind }>) => void } = {
+    [RolloutCommandKind.ReadHead]: ({ request }) => {
+      metrics.count('head_reads_total')
+      table.read([headKey]).then(read => {
+        const row = read.ok ? read.value.rows.find(({ key }) => key === headKey) : undefined
+        const head = headShape.safeParse(row?.value)
+        if (!read.ok || (row !== undefined && !head.success)) feed({ kind: RolloutEventKind.HeadReadFailed, request })
+        else feed({ kind: RolloutEventKind.HeadRead, request, head: head.success ? head.data : null })
+      }).catch(error => logger.error('head read failed', { reason: String(error) }))
+    },
+    [RolloutCommandKind.AskPeers]: ({ peers, request }) => {
+      peers.forEach(peer => {
+        askedPeers.delete(peer)
+        askPeer(peer, request)
+      })
+    },
+    [RolloutCommandKind.FetchBodyFromStore]: ({ requested }) => {
+      const origin = { source: BodySource.Store } as const
+      objects.get(nameBodyKey(requested.digest)).then(body => {
+        const document = body.ok ? readSignedBundle(body.value) : body
+        if (document.ok) feed({ kind: RolloutEventKind.BodyReceived, requested, origin, document: document.value })
+        else feed({ kind: RolloutEventKind.BodyFailed, requested, origin })
+      }).catch(error => logger.error('body read failed', { reason: String(error) }))
+    },
+    [RolloutCommandKind.FetchBodyFromPeer]: ({ requested, peer }) => {
+      const origin = { source: BodySource.Peer, peer } as const
+      const address = addressOf(peer)
+      if (address === undefined) return setImmediate(feed, { kind: RolloutEventKind.BodyFailed, requested, origin }) as unknown as void
+      peerClients.get(address).fetchBundle(requested.version).then(fetched => {
+        const document = fetched.ok ? readSignedBundle(fetched.value.bundle) : fetched
+        if (document.ok) feed({ kind: RolloutEventKind.BodyReceived, requested, origin, document: document.value })
+        else feed({ kind: RolloutEventKind.BodyFailed, requested, origin })
+      }).catch(error => logger.error('body from peer failed', { peer, reason: String(error) }))
+    },
+    // Both messages of an exchange carry the version of their sender, so peers that are behind have
+    // learnt it already, and membership spreads a new version at once.
+    [RolloutCommandKind.TellPeers]: () => {},
+    [RolloutCommandKind.PutInForce]: ({ verified }) => options.putInForce(verified),
+    [RolloutCommandKind.ReportRefusal]: ({ refused, error }) => {
+      metrics.count('bundles_refused_total')
+      logger.warn('bundle refused', { version: refused.version, digest: refused.digest, code: error.code, name: ResultCode[error.code], reason: error.message })
+    }
+  }
+
+  const watch = superviseProcess({
+    name: 'bundles',
+    logger,
+    body: function * (): ProcessBody {
+      while (true) {
+        feed({ kind: RolloutEventKind.Tick, peers: options.listPeers().map(({ host }) => host), listedHosts: options.listedHosts() })
+        yield sleep(tickMilliseconds)
+      }
+    }
+  })
+
+  return {
+    mayServe: () => mayServe(state, now()),
+    hearPeer: ({ heartbeat: { sender }, bundleDigestPrefix }) => {
+      const own = readHeadInForce(state)
+      const isSame = own !== undefined && own.version === sender.bundleVersion && own.digest.startsWith(bundleDigestPrefix)
+      // A heartbeat holds only the start of the digest; the whole one is asked for when it matters.
+      if (sender.bundleVersion > (own?.version ?? 0)) askPeer(sender.host)
+      feed({ kind: RolloutEventKind.PeerVersion, peer: sender.host, head: isSame ? own : null })
+    },
+    fetchForPeer: version => {
+      const document = findDocument(state, version)
+      const head = readHeadInForce(state)
+      return document === undefined || head === undefined
+        ? fail(ResultCode.BundleNotFound, `version ${version} is not in force on this host`)
+        : succeed({ version: head.version, bundle: formatSignedBundle(document) })
+    },
+    head: () => readHeadInForce(state),
+    status: () => readRolloutStatus(state, now()),
+    stop: watch.stop
+  }
+}
+
+/** The start of a digest, as heartbeats carry it. */
+export function shortenDigest (head: BundleHead | undefined): string {
+  return head?.digest.slice(0, digestPrefixLength) ?? ''
+}
--- a/daemon/entry-host/src/entryHost.ts
+++ b/daemon/entry-host/src/entryHost.ts
@@ -4,6 +4,7 @@
 import type { Random } from '@siskinbeam/random/createRandom'
 import type { Bundle } from '@siskinbeam/schema/bundle'
 import type { FindRoute } from '@siskinbeam/schema/findRoute'
+import type { ClaimService } from './claims/startClaimService.js'
 import type { Exchange } from './requestPath/exchange.js'
 import type { ServiceRuntime } from './servers/serviceRuntime.js'
 
@@ -27,6 +28,7 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly random: Random
+  readonly claims: ClaimService
   /** Monotonic milliseconds. */
   now: () => number
   /** Wall clock in epoch milliseconds. */
--- a/daemon/entry-host/src/requestPath/accountFor.ts
+++ b/daemon/entry-host/src/requestPath/accountFor.ts
@@ -3,7 +3,8 @@
 import { describeResultCode } from '@siskinbeam/result-codes/describeResultCode'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { checkInvariant, Invariant } from '@siskinbeam/invariants/checkInvariant'
-import { finishExchange, type Exchange } from './exchange.js'
+import { decideOutcomeWithoutClaim } from '@siskinbeam/request-claims/decideOutcome'
+import { finishExchange, needsClaim, type Exchange } from './exchange.js'
 
 /** What is said to the guest. */
 export interface Account {
@@ -24,7 +25,7 @@
   const { host, request, response, requestId } = exchange
   if (exchange.finished) return
   const description = describeResultCode(account.code)
-  const outcome = account.outcome ?? description.outcome ?? Outcome.Unknown
+  const outcome = account.outcome ?? decideOutcome(exchange, description.outcome ?? Outcome.Unknown)
   checkInvariant({
     invariant: Invariant.NotRunIsTrue,
     holds: outcome !== Outcome.NotRun || exchange.sends === 0 || exchange.provablyNotStarted === exchange.sends,
@@ -65,3 +66,9 @@
   response.end(body)
   finishExchange(exchange)
 }
+
+// A keyed request that is refused before its claim may have run through another host, unless the guest
+// says that it sends the key for the first time.
+function decideOutcome (exchange: Exchange, outcome: Outcome): Outcome {
+  return outcome === Outcome.NotRun && needsClaim(exchange) ? decideOutcomeWithoutClaim(exchange.guestAttempt) : outcome
+}
--- a/daemon/entry-host/src/requestPath/exchange.ts
+++ b/daemon/entry-host/src/requestPath/exchange.ts
@@ -1,6 +1,7 @@
 // One request of a guest on its way through the filters of the request path.
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RouteRule } from '@siskinbeam/schema/bundle'
+import type { RequestClaim } from '../claims/requestClaim.js'
 import type { EntryHost } from '../entryHost.js'
 import type { ServiceRuntime } from '../servers/serviceRuntime.js'
 
@@ -19,8 +20,12 @@
   guestClass: string
   /** The idempotency key, if the guest sent one. */
   key: string | undefined
-  /** The guest declares that it has not sent this key before. */
-  firstAttempt: boolean
+  /** How often the guest sent this key, this time included, if it says so. */
+  guestAttempt: number | undefined
+  /** The claim of a non-idempotent request with a key, once it was asked for. */
+  claim: RequestClaim | undefined
+  /** Sends the request again after a send that was provably not started. */
+  sendAgain: (() => void) | undefined
   /** A layer above this one already retries. */
   retriedAbove: boolean
   /** The whole body, or null while it is streamed. */
@@ -52,3 +57,8 @@
   exchange.finished = true
   exchange.onFinished.forEach(act => act())
 }
+
+/** Whether the request runs under a claim in the table service. */
+export function needsClaim (exchange: Exchange): boolean {
+  return exchange.route?.idempotent === false && exchange.key !== undefined
+}
--- a/daemon/entry-host/src/requestPath/identifyRequest.ts
+++ b/daemon/entry-host/src/requestPath/identifyRequest.ts
@@ -40,7 +40,7 @@
   'siskinbeam-attempt': (exchange, value) => {
     const attempt = readWholeNumber(value, 1_000_000)
     if (attempt === undefined || attempt < 1) return headerInvalid('siskinbeam-attempt', 'a whole number from 1')
-    exchange.firstAttempt = attempt === 1
+    exchange.guestAttempt = attempt
     return undefined
   },
   'idempotency-key': (exchange, value) => {
--- a/daemon/entry-host/src/requestPath/readBody.ts
+++ b/daemon/entry-host/src/requestPath/readBody.ts
@@ -2,17 +2,12 @@
 // known; larger ones are streamed to a single server with backpressure.
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { accountFor } from './accountFor.js'
-import type { Exchange, Filter } from './exchange.js'
+import { needsClaim, type Exchange, type Filter } from './exchange.js'
 
 const longestBufferedBytes = 65_536
 const longestKeyedBytes = 1_048_576
 const noBody = Buffer.alloc(0)
 
-/** Whether the request runs under a claim in the table service. */
-export function needsClaim (exchange: Exchange): boolean {
-  return exchange.route?.idempotent === false && exchange.key !== undefined
-}
-
 /** The filter that reads the body, or leaves it to be streamed. */
 export const readBody: Filter = (exchange, next) => {
   const { request } = exchange
--- a/daemon/entry-host/src/requestPath/relayAnswer.ts
+++ b/daemon/entry-host/src/requestPath/relayAnswer.ts
@@ -4,52 +4,56 @@
 import { finishExchange, type Exchange } from './exchange.js'
 import { makeGuestHeaders } from './forwardHeaders.js'
 
-/** How a relay ended. */
-export enum RelayEnd {
+/** How an answer ended at the server's side. */
+export enum AnswerEnd {
   Whole = 'whole',
-  /** The server ended the answer early. */
-  Truncated = 'truncated',
-  /** The guest closed its connection. */
-  GuestGone = 'guest-gone'
+  /** The server ended the answer early, or it was cancelled since the guest is gone. */
+  Truncated = 'truncated'
 }
 
 export interface RelayAnswerOptions {
   exchange: Exchange
   answer: IncomingMessage
-  /** Gets each part of the body as it passes. */
+  /** Reads on when the guest is gone, so that the whole answer can be kept. */
+  keepReading: boolean
   onChunk?: (chunk: Buffer) => void
-  onEnd: (end: RelayEnd) => void
+  onEnd: (end: AnswerEnd) => void
 }
 
 /** Relays one answer and ends the exchange. */
-export function relayAnswer ({ exchange, answer, onChunk, onEnd }: RelayAnswerOptions): void {
+export function relayAnswer ({ exchange, answer, keepReading, onChunk, onEnd }: RelayAnswerOptions): void {
   const { response } = exchange
   let ended = false
-  const end = (how: RelayEnd): void => {
+  const end = (how: AnswerEnd): void => {
     if (ended) return
     ended = true
     onEnd(how)
-    finishExchange(exchange)
   }
-  response.writeHead(answer.statusCode ?? 502, answer.statusMessage, makeGuestHeaders(exchange, answer))
+  if (!response.destroyed && !exchange.finished) response.writeHead(answer.statusCode ?? 502, answer.statusMessage, makeGuestHeaders(exchange, answer))
+  else if (!keepReading) answer.destroy()
   answer.on('data', (chunk: Buffer) => {
     onChunk?.(chunk)
-    if (response.destroyed) return
+    if (exchange.finished || response.destroyed) return
     if (!response.write(chunk)) answer.pause()
   })
   response.on('drain', () => answer.resume())
+  response.on('close', () => {
+    finishExchange(exchange)
+    if (ended || answer.complete) return
+    if (keepReading) answer.resume()
+    else answer.destroy()
+  })
   answer.on('end', () => {
     if (!answer.complete) return
-    if (!response.destroyed) response.end()
-    end(RelayEnd.Whole)
+    if (!exchange.finished && !response.destroyed) response.end()
+    end(AnswerEnd.Whole)
+    finishExchange(exchange)
   })
   answer.on('error', () => {})
   answer.on('close', () => {
     if (answer.complete) return
-    response.destroy()
-    end(RelayEnd.Truncated)
-  })
-  response.on('close', () => {
-    if (!response.writableFinished && !ended) end(RelayEnd.GuestGone)
+    if (!exchange.finished) response.destroy()
+    end(AnswerEnd.Truncated)
+    finishExchange(exchange)
   })
 }
