--- a/daemon/entry-host/src/entryHostSettings.ts
+++ b/daemon/entry-host/src/entryHostSettings.ts
@@ -21,6 +21,7 @@
   tableAddress: { flag: 'table-address', description: 'address of the table service', check: addressSetting, required: true },
   objectStoreAddress: { flag: 'object-store-address', description: 'address of the object store', check: addressSetting, required: true },
   hostListAddress: { flag: 'host-list-address', description: 'address of the host list', check: addressSetting, required: true },
+  metricsAddress: { flag: 'metrics-address', description: 'IP number and port where operators read metrics and dumps over HTTP, empty for none', check: z.union([z.literal(''), addressSetting]), default: '' },
   seedPeers: { flag: 'seed-peers', description: 'peer addresses known at the start, separated by commas', check: addressListSetting, default: '' },
   logLevel: { flag: 'log-level', description: 'least level that is logged', check: choiceSetting(LogLevel), default: LogLevel.Info },
   seed: { flag: 'seed', description: 'seed of random numbers, 0 for a new one at each start', check: integerSetting(0, 2_147_483_647), default: '0' },
--- a/daemon/entry-host/src/requestPath/accountFor.ts
+++ b/daemon/entry-host/src/requestPath/accountFor.ts
@@ -69,6 +69,7 @@
 
 // A keyed request that is refused before its claim may have run through another host, unless the guest
 // says that it sends the key for the first time.
-function decideOutcome (exchange: Exchange, outcome: Outcome): Outcome {
+/** What a refusal may say of the request. */
+export function decideOutcome (exchange: Exchange, outcome: Outcome): Outcome {
   return outcome === Outcome.NotRun && needsClaim(exchange) ? decideOutcomeWithoutClaim(exchange.guestAttempt) : outcome
 }
--- a/daemon/entry-host/src/requestPath/claimRequest.ts
+++ b/daemon/entry-host/src/requestPath/claimRequest.ts
@@ -1,23 +1,20 @@
 // Claims a non-idempotent request that has an idempotency key, before it may be sent.
-import { createHash } from 'node:crypto'
+import { AdmissionEventKind } from '@siskinbeam/admission/admissionTypes'
 import type { StoredAnswer } from '@siskinbeam/request-claims/claimRow'
-import { accountFor } from './accountFor.js'
+import { Outcome } from '@siskinbeam/result-codes/resultCode'
+import { accountFor, decideOutcome } from './accountFor.js'
+import { feedAdmission } from './admitRequest.js'
+import { computeFingerprint } from './computeFingerprint.js'
 import { finishExchange, needsClaim, type Exchange, type Filter } from './exchange.js'
 
-/** Digest of method, path and body: two requests with one key must not differ in it. */
-export function computeFingerprint (exchange: Exchange): string {
-  return createHash('sha256')
-    .update(`${exchange.request.method} ${exchange.request.url}\n`)
-    .update(exchange.body ?? '')
-    .digest('hex')
-}
-
 /** The filter that claims a request. Those that need no claim pass at once. */
 export const claimRequest: Filter = (exchange, next) => {
   const { host, service, key } = exchange
   const active = host.activeBundle()
   if (!needsClaim(exchange) || service === undefined || key === undefined || active === undefined) return next()
   const { rule } = service
+  // The claim may take as long as an outage of the table service; others use the slot meanwhile.
+  feedAdmission(host, service, { kind: AdmissionEventKind.Paused, requestId: exchange.number })
   exchange.claim = host.claims.start({
     service: rule.name,
     idempotencyKey: key,
@@ -29,8 +26,10 @@
     tableAnswerMilliseconds: active.bundle.platform.tableAnswerMilliseconds
   }, {
     onSend: () => {
-      if (exchange.sendAgain !== undefined) exchange.sendAgain()
-      else next()
+      // After a send that was not started, the dispatch itself decides on the next.
+      if (exchange.onAdmitted !== undefined) return
+      exchange.onAdmitted = next
+      feedAdmission(host, service, { kind: AdmissionEventKind.Resumed, requestId: exchange.number, refusalOutcome: decideOutcome(exchange, Outcome.NotRun) })
     },
     onAnswer: account => accountFor(exchange, account),
     onReplay: answer => replayAnswer(exchange, answer)
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -1,84 +1,153 @@
-// Chooses servers for a request and sends it until one answers, or until nothing more may be tried.
+// Sends a request until a server answers or nothing more may be tried: chooses a server, sends, hedges,
+// retries within the budget, and relays the answer.
+import { recordFirstSend } from '@siskinbeam/retries/retryBudget'
+import { carriesRetriedHeader } from '@siskinbeam/retries/decideRetry'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { ChoiceEventKind } from '@siskinbeam/server-choice/choiceState'
+import { chooseServer } from '@siskinbeam/server-choice/chooseServer'
+import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
+import { HealthEventKind } from '@siskinbeam/server-health/healthState'
+import { feedChoice, feedHealth, noteSent } from '../servers/observeServers.js'
 import type { ServerRuntime } from '../servers/serviceRuntime.js'
-import { accountFor, type Account } from './accountFor.js'
-import type { Exchange, Filter } from './exchange.js'
+import { accountFor } from './accountFor.js'
+import { handleOutcome } from './attemptOutcomes.js'
+import { createDispatch, failRequest, mayHaveStarted, type Dispatch, type OpenAttempt } from './dispatchState.js'
+import { finishExchange, type Filter } from './exchange.js'
 import { makeServerHeaders } from './forwardHeaders.js'
-import { relayAnswer } from './relayAnswer.js'
-import { AttemptEnd, sendAttempt, type Attempt, type AttemptOutcome } from './sendAttempt.js'
+import { scheduleHedge } from './hedgeRequest.js'
+import { decideIsolation } from './isolateSuspect.js'
+import { sendAttempt } from './sendAttempt.js'
+
+// A claimed request that timed out may still be answered; its answer is stored for the next ask.
+const lateAnswerMilliseconds = 10_000
 
 /** The filter that sends a request and relays the answer. */
 export const dispatchRequest: Filter = exchange => {
-  const { host } = exchange
-  const tried = new Set<string>()
-  let attempt: Attempt | undefined
-  const deadlineTimer = setTimeout(() => {
-    attempt?.cancel()
-    accountFor(exchange, exchange.sends === exchange.provablyNotStarted
-      ? { code: ResultCode.DeadlineExceededBeforeSend, message: 'the deadline passed before the request was sent' }
-      : { code: ResultCode.ServerTimedOut, message: 'no answer within the deadline' })
-  }, Math.max(0, exchange.deadlineAt - host.now()))
-  exchange.onFinished.push(() => clearTimeout(deadlineTimer))
-  exchange.response.on('close', () => {
-    if (exchange.finished) return
-    if (exchange.route?.idempotent === true) attempt?.cancel()
-    accountFor(exchange, { code: ResultCode.GuestCancelled, message: 'the guest closed its connection' })
+  const { service, host } = exchange
+  if (service === undefined) return
+  const dispatch = createDispatch(exchange, service)
+  recordFirstSend(service.retryBudget, host.now())
+  const deadlineTimer = setTimeout(onDeadline, Math.max(0, exchange.deadlineAt - host.now()), dispatch)
+  exchange.response.on('close', () => onGuestGone(dispatch))
+  exchange.onFinished.push(() => {
+    clearTimeout(deadlineTimer)
+    dispatch.timers.forEach(clearTimeout)
   })
+  sendNext(dispatch, false)
+}
 
-  const tryNext = (): void => {
-    if (exchange.finished) return
-    const server = chooseUntried(exchange, tried)
-    if (server === undefined) {
-      return accountFor(exchange, {
-        code: tried.size === 0 ? ResultCode.NoServer : ResultCode.ServersRefused,
-        message: tried.size === 0 ? 'no server takes new work' : 'each server that was tried refused',
-        retryAfterMilliseconds: 1_000
-      })
-    }
-    tried.add(server.place.name)
-    exchange.sends += 1
-    server.inFlight += 1
-    attempt = sendAttempt({
-      exchange,
-      server,
-      headers: makeServerHeaders(exchange, host.now(), host.epochNow(), true),
-      maySend: () => !exchange.finished,
-      onOutcome: outcome => {
-        server.inFlight -= 1
-        outcomeHandlers[outcome.kind](exchange, outcome as never, tryNext)
-      }
+/** Chooses a server and sends the request to it. */
+export function sendNext (dispatch: Dispatch, isHedge: boolean): void {
+  const { host, exchange, service } = dispatch
+  if (exchange.finished || dispatch.answered) return
+  decideIsolation(dispatch, serverName => {
+    const name = serverName ?? chooseServer({
+      state: service.choice,
+      policy: service.rule.policy,
+      now: host.now(),
+      random: host.random,
+      readWeight: server => readServerWeight(service.health, server, host.now()),
+      excluded: dispatch.tried
     })
-  }
-  tryNext()
+    const server = name === undefined ? undefined : service.servers.get(name)
+    if (server !== undefined) return sendTo(dispatch, server, isHedge)
+    if (dispatch.open.size > 0) return
+    failRequest(dispatch, dispatch.tried.length === 0
+      ? { code: ResultCode.NoServer, message: 'no server takes new work', retryAfterMilliseconds: 1_000 }
+      : { code: ResultCode.ServersRefused, message: 'each server that was tried refused', retryAfterMilliseconds: 1_000 })
+  })
 }
 
-type OutcomeHandlers = {
-  [Kind in AttemptEnd]: (exchange: Exchange, outcome: Extract<AttemptOutcome, { kind: Kind }>, tryNext: () => void) => void
+function sendTo (dispatch: Dispatch, server: ServerRuntime, isHedge: boolean): void {
+  const { host, exchange, service } = dispatch
+  const { name } = server.place
+  dispatch.tried.push(name)
+  exchange.sends += 1
+  feedChoice(host, service, { kind: ChoiceEventKind.Sent, server: name })
+  const retried = carriesRetriedHeader({
+    idempotent: exchange.route?.idempotent === true,
+    retriedAbove: exchange.retriedAbove,
+    maximumAttempts: service.rule.retry.maximumAttempts
+  })
+  const startedAt = host.now()
+  const open: OpenAttempt = { server, startedAt, writtenAt: startedAt, written: false, isHedge, fingerprint: dispatch.fingerprint, attempt: undefined as never }
+  dispatch.open.add(open)
+  open.attempt = sendAttempt({
+    exchange,
+    server,
+    newConnection: dispatch.isolated,
+    headers: makeServerHeaders(exchange, startedAt, host.epochNow(), retried),
+    maySend: () => maySend(dispatch, server),
+    onWritten: () => {
+      open.written = true
+      open.writtenAt = host.now()
+      server.openSends.add(open)
+      exchange.claim?.sendStarted()
+      noteSent(host, service, server)
+    },
+    onOutcome: outcome => {
+      dispatch.open.delete(open)
+      server.openSends.delete(open)
+      handleOutcome(dispatch, open, outcome)
+    }
+  })
+  if (!isHedge) scheduleHedge(dispatch, open)
 }
 
-const outcomeHandlers: OutcomeHandlers = {
-  [AttemptEnd.Answered]: (exchange, { answer }) => {
-    if (exchange.finished) return answer.destroy() as unknown as void
-    relayAnswer({ exchange, answer, onEnd: end => exchange.host.metrics.count(`answers_total{end="${end}"}`) })
-  },
-  [AttemptEnd.NotStarted]: (exchange, _outcome, tryNext) => {
-    exchange.provablyNotStarted += 1
-    tryNext()
-  },
-  [AttemptEnd.Broken]: (exchange, outcome, tryNext) =>
-    retryOrAccount(exchange, tryNext, { code: ResultCode.ServerFailedAfterSend, message: outcome.reason, outcome: Outcome.Unknown }),
-  [AttemptEnd.Malformed]: (exchange, outcome, tryNext) =>
-    retryOrAccount(exchange, tryNext, { code: ResultCode.AnswerMalformed, message: outcome.reason, outcome: Outcome.Unknown })
+// Asked when the connection is open, right before the first byte: the server may have begun to leave,
+// the claim may have lapsed, or the guest may have gone since the choice.
+function maySend ({ exchange, service, host }: Dispatch, server: ServerRuntime): boolean {
+  return !exchange.finished && (exchange.claim?.maySend() ?? true) && readServerWeight(service.health, server.place.name, host.now()) > 0
 }
 
-function retryOrAccount (exchange: Exchange, tryNext: () => void, account: Account): void {
-  if (exchange.route?.idempotent === true && exchange.body !== null) tryNext()
-  else accountFor(exchange, account)
+/** Gives up the sends that are still open; servers take the close of the connection as cancellation. */
+export function cancelOpen (dispatch: Dispatch): void {
+  const { host, service } = dispatch
+  dispatch.open.forEach(open => {
+    open.attempt.cancel()
+    open.server.openSends.delete(open)
+    feedChoice(host, service, {
+      kind: ChoiceEventKind.Completed,
+      server: open.server.place.name,
+      latencyMilliseconds: host.now() - open.startedAt,
+      cancelled: true
+    })
+  })
+  dispatch.open.clear()
 }
 
-function chooseUntried (exchange: Exchange, tried: Set<string>): ServerRuntime | undefined {
-  const { service, host } = exchange
-  if (service === undefined || tried.size >= service.rule.retry.maximumAttempts) return undefined
-  const candidates = [...service.servers.values()].filter(server => !tried.has(server.place.name))
-  return candidates[Math.floor(host.random() * candidates.length)]
+function onDeadline (dispatch: Dispatch): void {
+  const { exchange, host, service } = dispatch
+  if (exchange.finished) return
+  const { claim } = exchange
+  dispatch.open.forEach(({ server, written }) => {
+    if (written) feedHealth(host, service, { kind: HealthEventKind.Failed, server: server.place.name })
+  })
+  if (dispatch.answered) {
+    exchange.response.destroy()
+    return finishExchange(exchange)
+  }
+  if (claim !== undefined && mayHaveStarted(dispatch)) {
+    setTimeout(cancelOpen, lateAnswerMilliseconds, dispatch).unref()
+    return claim.sendFailed(ResultCode.ServerTimedOut)
+  }
+  const unsent = [...dispatch.open].filter(({ written }) => !written).length
+  cancelOpen(dispatch)
+  exchange.provablyNotStarted += unsent
+  failRequest(dispatch, mayHaveStarted(dispatch)
+    ? { code: ResultCode.ServerTimedOut, message: 'no answer within the deadline', outcome: Outcome.Unknown }
+    : { code: ResultCode.DeadlineExceededBeforeSend, message: 'the deadline passed before the request was sent' })
 }
+
+function onGuestGone (dispatch: Dispatch): void {
+  const { exchange } = dispatch
+  if (exchange.finished || dispatch.answered) return
+  if (exchange.claim !== undefined) {
+    exchange.claim.guestLeft()
+    return finishExchange(exchange)
+  }
+  // Cancelling a request that is not idempotent could leave it half done.
+  if (exchange.route?.idempotent === true) cancelOpen(dispatch)
+  accountFor(exchange, { code: ResultCode.GuestCancelled, message: 'the guest closed its connection' })
+}
+
--- a/daemon/entry-host/src/requestPath/exchange.ts
+++ b/daemon/entry-host/src/requestPath/exchange.ts
@@ -12,6 +12,8 @@
   readonly response: ServerResponse
   readonly receivedAt: number
   readonly path: string
+  /** Unique on this host; request ids come from guests and may repeat. */
+  readonly number: string
   requestId: string
   deadlineAt: number
   depth: number
@@ -24,8 +26,8 @@
   guestAttempt: number | undefined
   /** The claim of a non-idempotent request with a key, once it was asked for. */
   claim: RequestClaim | undefined
-  /** Sends the request again after a send that was provably not started. */
-  sendAgain: (() => void) | undefined
+  /** Called when admission lets the request through after its claim. */
+  onAdmitted: (() => void) | undefined
   /** A layer above this one already retries. */
   retriedAbove: boolean
   /** The whole body, or null while it is streamed. */
@@ -34,6 +36,8 @@
   sends: number
   /** Those of the sends that the server provably did not start. */
   provablyNotStarted: number
+  /** A whole answer of a server was passed on. */
+  answeredWhole: boolean
   /** The last bytes went to the guest, or the connection to it was destroyed. */
   finished: boolean
   /** Called once when the exchange ends, whatever its end. */
--- /dev/null
+++ b/daemon/entry-host/src/requestPath/hedgeRequest.ts
@@ -0,0 +1,55 @@
+// Sends an idempotent request to a second server when the first takes longer than usual.
+import { decideHedge, HedgeDecisionKind, type HedgeDecision } from '@siskinbeam/hedging/decideHedge'
+import { decideRetry, RetryCause } from '@siskinbeam/retries/decideRetry'
+import { readClassRank } from './admitRequest.js'
+import { sendNext } from './dispatchRequest.js'
+import { schedule, type Dispatch, type OpenAttempt } from './dispatchState.js'
+
+/** Decides on a hedge now and again when the decision says so. */
+export function scheduleHedge (dispatch: Dispatch, first: OpenAttempt): void {
+  const { host, exchange, service } = dispatch
+  if (exchange.body === null) return
+  const decision = decideHedge({
+    state: service.hedging,
+    now: host.now(),
+    sentAt: first.startedAt,
+    deadlineAt: exchange.deadlineAt,
+    idempotent: exchange.route?.idempotent === true,
+    suspect: dispatch.isolated,
+    hedgesSent: dispatch.hedges,
+    // The token is taken by decideRetry at the time of the send.
+    budgetAvailable: true
+  })
+  const handlers: { [Kind in HedgeDecisionKind]: (decision: Extract<HedgeDecision, { kind: Kind }>) => void } = {
+    [HedgeDecisionKind.Never]: () => {},
+    [HedgeDecisionKind.Wait]: ({ untilMilliseconds }) => schedule(dispatch, untilMilliseconds - host.now(), () => {
+      if (dispatch.open.has(first) && !dispatch.answered) scheduleHedge(dispatch, first)
+    }),
+    [HedgeDecisionKind.Send]: () => sendHedge(dispatch)
+  }
+  ;(handlers[decision.kind] as (decision: HedgeDecision) => void)(decision)
+}
+
+function sendHedge (dispatch: Dispatch): void {
+  const { host, exchange, service } = dispatch
+  const decision = decideRetry({
+    budget: service.retryBudget,
+    now: host.now(),
+    random: host.random,
+    request: {
+      cause: RetryCause.Hedge,
+      idempotent: true,
+      retriedAbove: exchange.retriedAbove,
+      maximumAttempts: service.rule.retry.maximumAttempts,
+      sends: exchange.sends,
+      deadlineAt: exchange.deadlineAt,
+      expectedMilliseconds: service.choice.meanLatencyMilliseconds,
+      classRank: readClassRank(exchange),
+      isolated: dispatch.isolated
+    }
+  })
+  if (!decision.retries) return
+  dispatch.hedges += 1
+  host.metrics.count('hedges_total')
+  sendNext(dispatch, true)
+}
--- /dev/null
+++ b/daemon/entry-host/src/requestPath/isolateSuspect.ts
@@ -0,0 +1,33 @@
+// Decides how a request is sent with regard to servers that died while they had it.
+import { decideSuspectSend, SendVerdictKind, type SendVerdict } from '@siskinbeam/crash-suspects/decideSuspectSend'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
+import { failRequest, schedule, type Dispatch } from './dispatchState.js'
+
+/** Calls `send`, now or later, with the server that a suspect must go to, or fails the request. */
+export function decideIsolation (dispatch: Dispatch, send: (server: string | undefined) => void): void {
+  const { host, service } = dispatch
+  if (host.crashes.suspects.size === 0) return send(undefined)
+  const verdict = decideSuspectSend({
+    state: host.crashes,
+    fingerprint: dispatch.fingerprint(),
+    servers: [...service.servers.keys()].filter(name => readServerWeight(service.health, name, host.now()) > 0),
+    now: host.now()
+  })
+  const handlers: { [Kind in SendVerdictKind]: (verdict: Extract<SendVerdict, { kind: Kind }>) => void } = {
+    [SendVerdictKind.Free]: () => {
+      dispatch.isolated = false
+      send(undefined)
+    },
+    [SendVerdictKind.Held]: ({ until }) => schedule(dispatch, until - host.now(), () => decideIsolation(dispatch, send)),
+    [SendVerdictKind.Isolated]: ({ server }) => {
+      dispatch.isolated = true
+      send(server !== undefined && dispatch.tried.includes(server) ? undefined : server)
+    },
+    [SendVerdictKind.Refused]: () => {
+      host.metrics.count('crash_suspects_refused_total')
+      failRequest(dispatch, { code: ResultCode.CrashSuspect, message: 'servers died while they ran this request' })
+    }
+  }
+  ;(handlers[verdict.kind] as (verdict: SendVerdict) => void)(verdict)
+}
--- a/daemon/entry-host/src/requestPath/sendAttempt.ts
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -27,6 +27,8 @@
   exchange: Exchange
   server: ServerRuntime
   headers: Record<string, string | string[]>
+  /** Uses no open connection, and closes the new one afterwards. */
+  newConnection: boolean
   /** Asked right before the first byte is written; false gives up the send. */
   maySend: () => boolean
   onOutcome: (outcome: AttemptOutcome) => void
@@ -57,7 +59,7 @@
     method: exchange.request.method,
     path: exchange.request.url,
     headers: options.headers,
-    agent: server.connections
+    agent: options.newConnection ? false : server.connections
   })
   const write = (): void => {
     if (settled) return
--- a/daemon/entry-host/src/servers/serverConnections.ts
+++ b/daemon/entry-host/src/servers/serverConnections.ts
@@ -54,6 +54,11 @@
     this.noteSocket(socket).poisoned = true
   }
 
+  /** Closes all idle connections. */
+  closeIdle (): void {
+    this.suspectOpenedUntil(this.now())
+  }
+
   /** Closes idle connections that were opened no later than a silent one. */
   suspectOpenedUntil (openedAt: number): void {
     this.suspectUntil = Math.max(this.suspectUntil, openedAt)
