Limit measuring by a sliding log

Cause: invariant 1 holds the messages, bytes and processor time of measuring in any one-second window. Ruled out: a token bucket (admits up to twice the budget in a window that spans a refill) and a log of single entries (memory grows with the rate). Change: takeMeasuringBudget with slots of 4 ms in a ring of 256; the assertion counts the ring again. Conclusion: the budget holds in every window and under changes; up to 0.4 % of it is left unused.

--- /dev/null
+++ b/limits/measuring-budget/test/takeMeasuringBudget.test.ts
@@ -0,0 +1,80 @@
+// Guards against a one-second window in which measuring costs more than the budget, and against a log
+// that grows with the rate of measuring.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fastCheck from 'fast-check'
+import { createMeasuringBudgetState, recordMeasuringOverrun, takeMeasuringBudget, type MeasuringBudget, type MeasuringCost } from '../src/takeMeasuringBudget.js'
+
+const seed = 20_241
+const budgetArbitrary = fastCheck.record({
+  messagesPerSecond: fastCheck.integer({ min: 0, max: 40 }),
+  bytesPerSecond: fastCheck.integer({ min: 0, max: 8_000 }),
+  coreShare: fastCheck.double({ min: 0, max: 0.02, noNaN: true })
+})
+const stepArbitrary = fastCheck.record({
+  pauseMilliseconds: fastCheck.oneof(
+    fastCheck.double({ min: 0, max: 5, noNaN: true }),
+    fastCheck.double({ min: 0, max: 400, noNaN: true }),
+    fastCheck.constantFrom(0, 4, 999, 1_000)),
+  cost: fastCheck.record({
+    messages: fastCheck.integer({ min: 0, max: 5 }),
+    bytes: fastCheck.integer({ min: 0, max: 1_000 }),
+    processorMilliseconds: fastCheck.double({ min: 0, max: 1.5, noNaN: true })
+  }),
+  changedBudget: fastCheck.option(budgetArbitrary, { freq: 20 })
+})
+
+const sumCosts = (taken: Array<{ at: number, cost: MeasuringCost }>, after: number, until: number): MeasuringCost => taken
+  .filter(({ at }) => at > after && at <= until)
+  .reduce((sum, { cost }) => ({
+    messages: sum.messages + cost.messages,
+    bytes: sum.bytes + cost.bytes,
+    processorMilliseconds: sum.processorMilliseconds + cost.processorMilliseconds
+  }), { messages: 0, bytes: 0, processorMilliseconds: 0 })
+
+test(`no window exceeds the budget in force at its last take, seed ${seed}`, () => {
+  fastCheck.assert(fastCheck.property(budgetArbitrary, fastCheck.array(stepArbitrary, { minLength: 1, maxLength: 200 }), (first, steps) => {
+    const state = createMeasuringBudgetState()
+    const taken: Array<{ at: number, cost: MeasuringCost }> = []
+    let now = 0
+    let budget: MeasuringBudget = first
+    steps.forEach(({ pauseMilliseconds, cost, changedBudget }) => {
+      now += pauseMilliseconds
+      budget = changedBudget ?? budget
+      if (!takeMeasuringBudget({ state, cost, budget, now })) return
+      taken.push({ at: now, cost })
+      // A sum only grows at a take, so the windows that end at a take are the fullest ones.
+      const sum = sumCosts(taken, now - 1_000, now)
+      assert.ok(sum.messages <= budget.messagesPerSecond, `${sum.messages} messages of ${budget.messagesPerSecond}`)
+      assert.ok(sum.bytes <= budget.bytesPerSecond, `${sum.bytes} bytes of ${budget.bytesPerSecond}`)
+      assert.ok(sum.processorMilliseconds <= budget.coreShare * 1_000 + 1e-9, `${sum.processorMilliseconds} ms of ${budget.coreShare * 1_000}`)
+    })
+    assert.equal(state.slots.length, 256)
+  }), { seed, numRuns: 500 })
+})
+
+const oneMessage: MeasuringCost = { messages: 1, bytes: 1, processorMilliseconds: 0.001 }
+const plenty: MeasuringBudget = { messagesPerSecond: 200, bytesPerSecond: 1_000_000, coreShare: 1 }
+
+test('the whole budget is usable at a steady rate, so the log does not refuse needlessly', () => {
+  const state = createMeasuringBudgetState()
+  const accepted = Array.from({ length: 20_000 }, (_, index) => takeMeasuringBudget({ state, cost: oneMessage, budget: plenty, now: index }))
+    .filter(Boolean).length
+  // Slots of 4 ms hold an entry up to 4 ms longer than a second.
+  assert.ok(accepted >= 200 * 20 * 0.98 && accepted <= 200 * 20, `${accepted} accepted`)
+})
+
+test('a clock that steps back does not free budget', () => {
+  const state = createMeasuringBudgetState()
+  const budget = { ...plenty, messagesPerSecond: 1 }
+  assert.ok(takeMeasuringBudget({ state, cost: oneMessage, budget, now: 5_000 }))
+  assert.equal(takeMeasuringBudget({ state, cost: oneMessage, budget, now: 1_000 }), false)
+  assert.equal(takeMeasuringBudget({ state, cost: oneMessage, budget, now: 5_999 }), false)
+  assert.ok(takeMeasuringBudget({ state, cost: oneMessage, budget, now: 6_000 }))
+})
+
+test('an overrun beyond the budget is reported as a violation', () => {
+  const state = createMeasuringBudgetState()
+  assert.throws(() => recordMeasuringOverrun({ state, excess: { ...oneMessage, messages: 201 }, budget: plenty, now: 0 }), /measuring-within-budget/)
+  assert.equal(takeMeasuringBudget({ state, cost: oneMessage, budget: plenty, now: 10 }), false)
+})
