Choose servers by policy

Cause: requests need a server by the policies of the design, at a cost independent of the service's size. Ruled out: scanning the subset for each request; it costs up to 1,000 estimates.

--- /dev/null
+++ b/routing/server-choice/src/stepServerChoice.ts
@@ -0,0 +1,78 @@
+// Takes what happens to requests, and load reports from any source, into the state of the choice.
+import { addToPool, removeFromPool } from '@siskinbeam/probing/reportPool'
+import {
+  ChoiceEventKind, createServerLoad,
+  type ChoiceEvent, type ServerChoiceState, type ServerLoad
+} from './choiceState.js'
+
+const serverLatencySmoothing = 0.2
+const serviceSmoothing = 0.02
+
+export interface StepServerChoiceOptions {
+  state: ServerChoiceState
+  event: ChoiceEvent
+  now: number
+}
+
+type EventOf<Kind extends ChoiceEventKind> = Extract<ChoiceEvent, { kind: Kind }>
+type Handlers = { [Kind in ChoiceEventKind]: (state: ServerChoiceState, event: EventOf<Kind>, now: number) => void }
+
+/** Takes one event into the state. Events about servers that are not in use are ignored. */
+export function stepServerChoice ({ state, event, now }: StepServerChoiceOptions): void {
+  const handle = handlers[event.kind] as (state: ServerChoiceState, event: ChoiceEvent, now: number) => void
+  handle(state, event, now)
+}
+
+const handlers: Handlers = {
+  [ChoiceEventKind.ServersChanged]: (state, { servers }) => {
+    state.servers = servers.map(server => ({ ...(state.byName.get(server.name) ?? createServerLoad(server)), slots: server.slots }))
+    state.byName = new Map(state.servers.map(server => [server.name, server]))
+    state.pool.entries = state.pool.entries.filter(({ server }) => state.byName.has(server))
+  },
+  [ChoiceEventKind.Sent]: (state, { server }) => {
+    const load = state.byName.get(server)
+    if (load === undefined) return
+    load.ownInFlight += 1
+    load.ownChange += 1
+  },
+  [ChoiceEventKind.Completed]: (state, { server, latencyMilliseconds, cancelled }, now) => {
+    const load = state.byName.get(server)
+    if (load === undefined) return
+    endOwnRequest(load)
+    const isNews = cancelled !== true || latencyMilliseconds > (load.latencyMilliseconds ?? state.meanLatencyMilliseconds)
+    if (isNews) noteLatency(state, load, latencyMilliseconds, now)
+  },
+  [ChoiceEventKind.Reported]: (state, { server, report, ageMilliseconds }, now) => {
+    const load = state.byName.get(server)
+    const at = now - ageMilliseconds
+    if (load === undefined || at < load.reportedAt) return
+    load.reportedInFlight = report.inFlight
+    load.reportedAt = at
+    load.ownChange = 0
+    if (report.slots !== undefined) load.slots = report.slots
+    state.meanLoadPerSlot += (report.inFlight / load.slots - state.meanLoadPerSlot) * serviceSmoothing
+    addToPool(state.pool, server, at)
+  },
+  [ChoiceEventKind.Shed]: (state, { server }, now) => {
+    const load = state.byName.get(server)
+    if (load === undefined) return
+    endOwnRequest(load)
+    // A server that sheds has all slots in use, whatever was last reported.
+    load.reportedInFlight = Math.max(load.reportedInFlight, load.slots + 1)
+    load.reportedAt = now
+    load.ownChange = 0
+    removeFromPool(state.pool, server)
+  }
+}
+
+function endOwnRequest (load: ServerLoad): void {
+  load.ownInFlight = Math.max(0, load.ownInFlight - 1)
+  load.ownChange -= 1
+}
+
+function noteLatency (state: ServerChoiceState, load: ServerLoad, latencyMilliseconds: number, now: number): void {
+  const previous = load.latencyMilliseconds ?? latencyMilliseconds
+  load.latencyMilliseconds = previous + (latencyMilliseconds - previous) * serverLatencySmoothing
+  load.latencySeenAt = now
+  state.meanLatencyMilliseconds += (latencyMilliseconds - state.meanLatencyMilliseconds) * serviceSmoothing
+}
--- /dev/null
+++ b/routing/server-choice/test/chooseServer.test.ts
@@ -0,0 +1,94 @@
+// Guards against choosing a server that must not get work, against a decision whose cost grows with the
+// service, and against a choice that trusts old or flattering reports.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fastCheck from 'fast-check'
+import { Policy } from '@siskinbeam/schema/bundle'
+import { createRandom } from '@siskinbeam/random/createRandom'
+import { ReportSource } from '@siskinbeam/probing/loadReport'
+import { chooseServer } from '../src/chooseServer.js'
+import { ChoiceEventKind, createServerChoiceState, defaultTuning, type ChoiceEvent, type ServerChoiceState } from '../src/choiceState.js'
+import { stepServerChoice } from '../src/stepServerChoice.js'
+
+const seed = 20_244
+const createService = (count: number): ServerChoiceState => {
+  const state = createServerChoiceState()
+  const servers = Array.from({ length: count }, (_, index) => ({ name: `desk-${index}`, slots: 3 }))
+  stepServerChoice({ state, event: { kind: ChoiceEventKind.ServersChanged, servers }, now: 0 })
+  return state
+}
+const report = (server: string, inFlight: number, ageMilliseconds = 0): ChoiceEvent =>
+  ({ kind: ChoiceEventKind.Reported, server, report: { inFlight, queued: 0, slots: 3 }, source: ReportSource.Probe, ageMilliseconds })
+const run = (state: ServerChoiceState, now: number, ...events: ChoiceEvent[]): void =>
+  events.forEach(event => stepServerChoice({ state, event, now }))
+const countChoices = (state: ServerChoiceState, now: number, policy = Policy.Ours): Map<string, number> => {
+  const random = createRandom(seed)
+  return Array.from({ length: 300 }, () => chooseServer({ state, policy, now, random, readWeight: () => 1, excluded: [] }) ?? '')
+    .reduce((counts, name) => counts.set(name, (counts.get(name) ?? 0) + 1), new Map<string, number>())
+}
+
+const serverArbitrary = fastCheck.nat(7).map(index => `desk-${index}`)
+const eventArbitrary: fastCheck.Arbitrary<ChoiceEvent> = fastCheck.oneof(
+  serverArbitrary.map((server): ChoiceEvent => ({ kind: ChoiceEventKind.Sent, server })),
+  fastCheck.tuple(serverArbitrary, fastCheck.nat(500)).map(([server, latencyMilliseconds]): ChoiceEvent => ({ kind: ChoiceEventKind.Completed, server, latencyMilliseconds })),
+  fastCheck.tuple(serverArbitrary, fastCheck.nat(9), fastCheck.nat(100)).map(([server, inFlight, age]) => report(server, inFlight, age)),
+  serverArbitrary.map((server): ChoiceEvent => ({ kind: ChoiceEventKind.Shed, server })))
+
+Object.values(Policy).forEach(policy => {
+  test(`${policy} never chooses an excluded server and finds an allowed one, seed ${seed}`, () => {
+    fastCheck.assert(fastCheck.property(
+      fastCheck.array(eventArbitrary, { maxLength: 60 }),
+      fastCheck.array(fastCheck.constantFrom(0, 0.1, 1), { minLength: 8, maxLength: 8 }),
+      fastCheck.uniqueArray(serverArbitrary, { maxLength: 8 }),
+      (events, weights, excluded) => {
+        const state = createService(8)
+        events.forEach((event, index) => run(state, index * 5, event))
+        const readWeight = (server: string): number => weights[Number(server.slice(5))] ?? 0
+        const allowed = state.servers.map(({ name }) => name).filter(name => readWeight(name) > 0 && !excluded.includes(name))
+        const random = createRandom(seed)
+        Array.from({ length: 10 }).forEach(() => {
+          const chosen = chooseServer({ state, policy, now: 300, random, readWeight, excluded })
+          assert.ok(chosen === undefined ? allowed.length === 0 : allowed.includes(chosen), `${chosen} of ${allowed.join()}`)
+        })
+      }), { seed, numRuns: 200 })
+  })
+})
+
+test('a decision looks at a bounded number of servers, in a service of 10 as in one of 14,000', () => {
+  const countMostReads = (servers: number): number => {
+    const state = createService(servers)
+    const random = createRandom(seed)
+    return Math.max(...Array.from({ length: 500 }, (_, index) => {
+      let reads = 0
+      run(state, index, report(`desk-${index % servers}`, 1))
+      chooseServer({ state, policy: Policy.Ours, now: index, random, readWeight: () => { reads += 1; return 1 }, excluded: [] })
+      return reads
+    }))
+  }
+  const bound = defaultTuning.pool.capacity + defaultTuning.sampledServers
+  assert.ok(countMostReads(10) <= bound && countMostReads(14_000) <= bound)
+})
+
+test('a report is used a limited number of times and own sends count against it', () => {
+  const state = createService(10)
+  Array.from({ length: 10 }, (_, index) => run(state, 0, report(`desk-${index}`, 3)))
+  run(state, 1, report('desk-4', 0))
+  const choose = (): string | undefined => chooseServer({ state, policy: Policy.Ours, now: 1, random: createRandom(seed), readWeight: () => 1, excluded: [] })
+  assert.equal(choose(), 'desk-4')
+  Array.from({ length: 6 }).forEach(() => run(state, 1, { kind: ChoiceEventKind.Sent, server: 'desk-4' }))
+  assert.notEqual(choose(), 'desk-4')
+})
+
+test('a straggler that reports no load gets less than a fair share', () => {
+  const state = createService(8)
+  Array.from({ length: 160 }, (_, index) => run(state, index, { kind: ChoiceEventKind.Completed, server: `desk-${index % 8}`, latencyMilliseconds: index % 8 === 0 ? 200 : 20 }))
+  Array.from({ length: 8 }, (_, index) => run(state, 160, report(`desk-${index}`, index === 0 ? 0 : 2)))
+  assert.ok((countChoices(state, 161).get('desk-0') ?? 0) < 300 / 8 / 2)
+})
+
+test('a request that ends without a known send or on a removed server does no harm', () => {
+  const state = createService(2)
+  run(state, 0, { kind: ChoiceEventKind.Completed, server: 'desk-1', latencyMilliseconds: 5 }, { kind: ChoiceEventKind.Shed, server: 'gone' })
+  assert.equal(state.byName.get('desk-1')?.ownInFlight, 0)
+  assert.equal(countChoices(createService(0), 0).get(''), 300)
+})
