--- /dev/null
+++ b/peers/protocol/src/peerMessage.ts
@@ -0,0 +1,138 @@
+// The message of Exchange in the form that the rest of the program uses, and its conversion to and from
+// protobuf. Everything received is checked here, since a peer may run another version or be broken.
+import { create } from '@bufbuild/protobuf'
+import { maximumEntriesPerHeartbeat, type Heartbeat, type MemberEntry } from '@siskinbeam/entry-hosts/memberEntry'
+import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { packAddress, packBytes, unpackAddress, unpackBytes, unpackCount } from './compactFields.js'
+import {
+  CrashFingerprintSchema, HeartbeatSchema, LoadReportSchema, MemberEntrySchema,
+  type Heartbeat as WireHeartbeat, type MemberEntry as WireEntry
+} from './generated/siskinbeam/peer/v1/peer_pb.js'
+
+export const maximumCrashFingerprints = 32
+export const maximumLoadReports = 32
+
+const bootIdBytes = 8
+const digestPrefixBytes = 8
+const fingerprintBytes = 16
+const serverIdBytes = 8
+const largestCount = 0xffff_ffff
+const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/
+const microsecondsPerMillisecond = 1_000
+
+/** A request that crashed servers. `fingerprint` is 32 hexadecimal digits. */
+export interface CrashFingerprint {
+  fingerprint: string
+  crashes: number
+  ageMilliseconds: number
+}
+
+/** A load report of a server, which `serverId` names as computed by `computeServerId`. */
+export interface LoadReport {
+  serverId: string
+  inFlight: number
+  queued: number
+  latencyMilliseconds: number
+  ageMilliseconds: number
+}
+
+/** What two hosts tell each other in one exchange. */
+export interface PeerMessage {
+  heartbeat: Heartbeat
+  /** First 16 hexadecimal digits of the digest of the active bundle, empty without a bundle. */
+  bundleDigestPrefix: string
+  crashFingerprints: CrashFingerprint[]
+  loadReports: LoadReport[]
+}
+
+/** Converts a message to protobuf. Lists that exceed their bound are cut. */
+export function packPeerMessage (message: PeerMessage): WireHeartbeat {
+  return create(HeartbeatSchema, {
+    sender: packEntry(message.heartbeat.sender),
+    members: message.heartbeat.members.slice(0, maximumEntriesPerHeartbeat - 1).map(packEntry),
+    bundleDigest: packBytes(message.bundleDigestPrefix.slice(0, 2 * digestPrefixBytes)),
+    crashFingerprints: message.crashFingerprints.slice(0, maximumCrashFingerprints).map(({ fingerprint, crashes, ageMilliseconds }) =>
+      create(CrashFingerprintSchema, { fingerprint: packBytes(fingerprint), crashes, ageMilliseconds: packCount(ageMilliseconds) })),
+    loadReports: message.loadReports.slice(0, maximumLoadReports).map(report =>
+      create(LoadReportSchema, {
+        serverId: packBytes(report.serverId),
+        inFlight: packCount(report.inFlight),
+        queued: packCount(report.queued),
+        latencyMicroseconds: packCount(report.latencyMilliseconds * microsecondsPerMillisecond),
+        ageMilliseconds: packCount(report.ageMilliseconds)
+      }))
+  })
+}
+
+/** Checks a received message and converts it. Fails with MalformedRequest, `key` names the field. */
+export function unpackPeerMessage (wire: WireHeartbeat): Result<PeerMessage> {
+  try {
+    return succeed({
+      heartbeat: {
+        sender: unpackEntry(wire.sender),
+        members: unpackList('members', wire.members, maximumEntriesPerHeartbeat - 1).map(unpackEntry)
+      },
+      bundleDigestPrefix: wire.bundleDigest.length === 0 ? '' : unpackBytes('bundle_digest', wire.bundleDigest, digestPrefixBytes),
+      crashFingerprints: unpackList('crash_fingerprints', wire.crashFingerprints, maximumCrashFingerprints).map(({ fingerprint, crashes, ageMilliseconds }) =>
+        ({ fingerprint: unpackBytes('fingerprint', fingerprint, fingerprintBytes), crashes, ageMilliseconds })),
+      loadReports: unpackList('load_reports', wire.loadReports, maximumLoadReports).map(report => ({
+        serverId: unpackBytes('server_id', report.serverId, serverIdBytes),
+        inFlight: report.inFlight,
+        queued: report.queued,
+        latencyMilliseconds: report.latencyMicroseconds / microsecondsPerMillisecond,
+        ageMilliseconds: report.ageMilliseconds
+      }))
+    })
+  } catch (error) {
+    if (error instanceof RangeError) return fail(ResultCode.MalformedRequest, 'the peer message has a field out of range', { key: error.message })
+    throw error
+  }
+}
+
+function packEntry (entry: MemberEntry): WireEntry {
+  const [guestIp] = entry.guestAddress.split(':')
+  const [peerIp] = entry.peerAddress.split(':')
+  const peerAddress = packAddress(entry.peerAddress)
+  return create(MemberEntrySchema, {
+    host: entry.host,
+    bootId: packBytes(entry.bootId),
+    counter: entry.counter,
+    dataCentre: entry.dataCentre,
+    guestAddress: packAddress(entry.guestAddress),
+    peerAddress: guestIp === peerIp ? peerAddress.subarray(-2) : peerAddress,
+    leaving: entry.leaving,
+    suspected: entry.suspected,
+    bundleVersion: BigInt(entry.bundleVersion)
+  })
+}
+
+function unpackEntry (wire: WireEntry | undefined): MemberEntry {
+  if (wire === undefined) throw new RangeError('sender')
+  const guestAddress = unpackAddress('guest_address', wire.guestAddress)
+  return {
+    host: unpackName('host', wire.host),
+    bootId: unpackBytes('boot_id', wire.bootId, bootIdBytes),
+    counter: wire.counter,
+    dataCentre: unpackName('data_centre', wire.dataCentre),
+    guestAddress,
+    peerAddress: unpackAddress('peer_address', wire.peerAddress, guestAddress),
+    leaving: wire.leaving,
+    suspected: wire.suspected,
+    bundleVersion: unpackCount('bundle_version', wire.bundleVersion)
+  }
+}
+
+function unpackName (field: string, name: string): string {
+  if (!namePattern.test(name)) throw new RangeError(field)
+  return name
+}
+
+function unpackList<Element> (field: string, list: Element[], longest: number): Element[] {
+  if (list.length > longest) throw new RangeError(field)
+  return list
+}
+
+function packCount (value: number): number {
+  return Math.min(Math.max(Math.round(value), 0), largestCount)
+}
