Sign and verify bundles with two Ed25519 keys

Cause: hosts must not use a bundle that was forged, changed after signing or not approved by a second person. Ruled out: a digest over the body with defaults filled in (a release with other defaults would invalidate every signature), and comparing keys as text (one key given raw and as DER would pass for two signers).

--- /dev/null
+++ b/bundle/signatures/src/signBundle.ts
@@ -0,0 +1,37 @@
+// Adds the signature of an author or an approver to a bundle document.
+import { sign } from 'node:crypto'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
+import { checkBundle } from '@siskinbeam/schema/checkBundle'
+import { digestBundle } from './digestBundle.js'
+import { readPrivateKey } from './signingKeys.js'
+import { formatSignedMessage, SignerRole, type SignedBundle } from './signedBundle.js'
+
+export interface SignBundleOptions {
+  document: SignedBundle
+  role: SignerRole
+  /** Base64 text of the signer's private key. */
+  privateKey: string
+}
+
+/**
+ * Signs a document in one role; a signature that it had in this role is replaced. Fails with
+ * KeyInvalid, BundleInvalid, BundleDigestMismatch, or BundleNotApproved if the same key would be
+ * author and approver.
+ */
+export function signBundle ({ document, role, privateKey }: SignBundleOptions): Result<SignedBundle> {
+  const key = readPrivateKey(privateKey)
+  if (!key.ok) return key
+  const bundle = checkBundle(document.body)
+  if (!bundle.ok) return bundle
+  const digest = digestBundle(document.body)
+  if (!digest.ok) return digest
+  if (digest.value !== document.digest) return fail(ResultCode.BundleDigestMismatch, 'the body was changed after the document was made', { key: 'digest', expected: digest.value })
+  const publicKey = key.value.publicKey.text
+  const others = document.signatures.filter(signature => signature.role !== role)
+  if (others.some(other => other.publicKey === publicKey)) {
+    return fail(ResultCode.BundleNotApproved, 'author and approver have the same key', { key: `signatures.${role}`, expected: 'the key of another person' })
+  }
+  const signature = sign(null, formatSignedMessage(role, bundle.value, document.digest), key.value.key).toString('base64')
+  return succeed({ ...document, signatures: [...others, { role, publicKey, signature }] })
+}
--- /dev/null
+++ b/bundle/signatures/src/verifySignedBundle.ts
@@ -0,0 +1,75 @@
+// Verifies a signed bundle document before any part of it is used. Each host does this for itself,
+// whether the document comes from the store or from a peer.
+import { verify } from 'node:crypto'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { fail, succeed, type CodedError, type Result } from '@siskinbeam/result-codes/codedError'
+import type { Bundle } from '@siskinbeam/schema/bundle'
+import { checkBundle } from '@siskinbeam/schema/checkBundle'
+import { digestBundle } from './digestBundle.js'
+import { readPublicKey, type TrustedKeys } from './signingKeys.js'
+import { checkSignedBundle, formatSignedMessage, SignerRole, type BundleSignature, type SignedBundle } from './signedBundle.js'
+
+export interface VerifySignedBundleOptions {
+  document: unknown
+  trustedKeys: TrustedKeys
+  /** Version in force; the document must have a greater one. Left out, any version passes. */
+  versionInForce?: number
+}
+
+/** A document whose digest, schema and both signatures were found right. */
+export interface VerifiedBundle {
+  bundle: Bundle
+  digest: string
+  /** Public keys by role, base64 of the raw key. */
+  signers: Record<SignerRole, string>
+  document: SignedBundle
+}
+
+/**
+ * Verifies shape and schema (BundleInvalid), digest (BundleDigestMismatch), version
+ * (BundleVersionStale), presence of an author and a different approver (BundleNotApproved), trust in
+ * both keys (BundleKeyUnknown), and both signatures (BundleSignatureInvalid), in this order.
+ */
+export function verifySignedBundle ({ document, trustedKeys, versionInForce }: VerifySignedBundleOptions): Result<VerifiedBundle> {
+  const shaped = checkSignedBundle(document)
+  if (!shaped.ok) return shaped
+  const digest = digestBundle(shaped.value.body)
+  if (!digest.ok) return digest
+  if (digest.value !== shaped.value.digest) return fail(ResultCode.BundleDigestMismatch, 'the body does not have the digest that the document states', { key: 'digest', expected: digest.value })
+  const bundle = checkBundle(shaped.value.body)
+  if (!bundle.ok) return bundle
+  if (versionInForce !== undefined && bundle.value.version <= versionInForce) {
+    return fail(ResultCode.BundleVersionStale, `version ${bundle.value.version} is not greater than ${versionInForce}, which is in force`, { key: 'version', expected: `at least ${versionInForce + 1}` })
+  }
+  return verifySigners(shaped.value, bundle.value, trustedKeys)
+}
+
+function verifySigners (document: SignedBundle, bundle: Bundle, trustedKeys: TrustedKeys): Result<VerifiedBundle> {
+  const author = findSignature(document, SignerRole.Author)
+  const approver = findSignature(document, SignerRole.Approver)
+  if (author === undefined) return fail(ResultCode.BundleNotApproved, 'the signature of the author is missing', { key: 'signatures.author', expected: 'a signature of the author' })
+  if (approver === undefined) return fail(ResultCode.BundleNotApproved, 'the signature of the approver is missing', { key: 'signatures.approver', expected: 'a signature of the approver' })
+  const signers = { [SignerRole.Author]: normalizeKey(author), [SignerRole.Approver]: normalizeKey(approver) }
+  if (signers.author === signers.approver) return fail(ResultCode.BundleNotApproved, 'author and approver have the same key', { key: 'signatures.approver', expected: 'the key of another person' })
+  const error = [author, approver].map(signature => findSignatureError(signature, document, bundle, trustedKeys)).find(found => found !== undefined)
+  if (error !== undefined) return { ok: false, error }
+  return succeed({ bundle, digest: document.digest, signers, document })
+}
+
+function findSignature (document: SignedBundle, role: SignerRole): BundleSignature | undefined {
+  return document.signatures.find(signature => signature.role === role)
+}
+
+function normalizeKey ({ publicKey }: BundleSignature): string {
+  const read = readPublicKey(publicKey)
+  return read.ok ? read.value.text : publicKey
+}
+
+function findSignatureError (signature: BundleSignature, document: SignedBundle, bundle: Bundle, trustedKeys: TrustedKeys): CodedError | undefined {
+  const { role } = signature
+  const key = trustedKeys.get(normalizeKey(signature))
+  if (key === undefined) return { code: ResultCode.BundleKeyUnknown, message: `the key of the ${role} is not trusted`, key: `signatures.${role}.publicKey`, expected: 'one of the trusted keys' }
+  const message = formatSignedMessage(role, bundle, document.digest)
+  if (verify(null, message, key, Buffer.from(signature.signature, 'base64'))) return undefined
+  return { code: ResultCode.BundleSignatureInvalid, message: `the signature of the ${role} does not match`, key: `signatures.${role}.signature`, expected: 'a signature over this body and role' }
+}
--- /dev/null
+++ b/bundle/signatures/test/verifySignedBundle.test.ts
@@ -0,0 +1,85 @@
+// Guards against a host that uses a bundle which was forged, changed after signing, or not approved by
+// a second person.
+import assert from 'node:assert/strict'
+import { createPublicKey } from 'node:crypto'
+import { test } from 'node:test'
+import fastCheck from 'fast-check'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import type { Result } from '@siskinbeam/result-codes/codedError'
+import { digestBundle, formatCanonicalJson } from '../src/digestBundle.js'
+import { createSigningKeyPair, readPrivateKey, readPublicKey, readTrustedKeys } from '../src/signingKeys.js'
+import { createSignedBundle, formatSignedBundle, readSignedBundle, SignerRole, type SignedBundle } from '../src/signedBundle.js'
+import { signBundle } from '../src/signBundle.js'
+import { verifySignedBundle } from '../src/verifySignedBundle.js'
+
+const take = <Value>(result: Result<Value>): Value => {
+  assert.ok(result.ok, JSON.stringify(result))
+  return result.value
+}
+const [author, approver, stranger] = [createSigningKeyPair(), createSigningKeyPair(), createSigningKeyPair()]
+const trustedKeys = take(readTrustedKeys([author.publicKey, approver.publicKey]))
+const body = {
+  formatVersion: 1,
+  name: 'example',
+  version: 7,
+  previousDigest: '0'.repeat(64),
+  dataCentres: [{ name: 'north' }],
+  services: [{
+    name: 'desk',
+    pathPrefix: '/desk',
+    servers: [{ name: 'desk-1', address: '127.0.0.1:9001', dataCentre: 'north', slots: 3 }],
+    routes: [{ methods: ['GET'], pathPrefix: '/desk', idempotent: true }]
+  }]
+}
+const sign = (document: SignedBundle, role: SignerRole, privateKey: string): SignedBundle => take(signBundle({ document, role, privateKey }))
+const signed = sign(sign(take(createSignedBundle(body)), SignerRole.Author, author.privateKey), SignerRole.Approver, approver.privateKey)
+const copy = (change: (document: any) => void): unknown => {
+  const document = structuredClone(signed)
+  change(document)
+  return document
+}
+
+test('a document signed by author and approver passes, also after a trip through bytes', () => {
+  const verified = take(verifySignedBundle({ document: take(readSignedBundle(formatSignedBundle(signed))), trustedKeys, versionInForce: 6 }))
+  assert.deepEqual(verified.signers, { author: author.publicKey, approver: approver.publicKey })
+  assert.equal(verified.bundle.version, 7)
+})
+
+const signedBy = (role: SignerRole, privateKey: string): unknown => sign({ ...signed, signatures: signed.signatures.filter(signature => signature.role !== role) }, role, privateKey)
+const asDer = (text: string): string => createPublicKey(take(readPrivateKey(text)).key).export({ format: 'der', type: 'spki' }).toString('base64')
+const refusals: Array<[string, ResultCode, unknown, number?]> = [
+  ['a body that breaks the schema', ResultCode.BundleInvalid, copy(document => { document.body.version = 0; document.digest = take(digestBundle(document.body)) })],
+  ['a document with an unknown key', ResultCode.BundleInvalid, copy(document => { document.extra = 1 })],
+  ['a deeply nested body', ResultCode.BundleInvalid, copy(document => { document.body.deep = Array.from({ length: 50 }).reduce<unknown>(inner => [inner], 1) })],
+  ['a version that is in force already', ResultCode.BundleVersionStale, signed, 7],
+  ['a wrong signature', ResultCode.BundleSignatureInvalid, copy(document => { document.signatures[0].signature = document.signatures[1].signature })],
+  ['signatures of another version', ResultCode.BundleSignatureInvalid, copy(document => { document.body.version = 8; document.digest = take(digestBundle(document.body)) })],
+  ['a missing approval', ResultCode.BundleNotApproved, copy(document => { document.signatures.pop() })],
+  ['an approver with the key of the author', ResultCode.BundleNotApproved, copy(document => { document.signatures[1] = { ...document.signatures[0], role: 'approver' } })],
+  ['the key of the author once raw, once DER', ResultCode.BundleNotApproved, copy(document => { document.signatures[1].publicKey = asDer(author.privateKey) })],
+  ['an author with an unknown key', ResultCode.BundleKeyUnknown, signedBy(SignerRole.Author, stranger.privateKey)],
+  ['an approver with an unknown key', ResultCode.BundleKeyUnknown, signedBy(SignerRole.Approver, stranger.privateKey)],
+  ['a changed body', ResultCode.BundleDigestMismatch, copy(document => { document.body.services[0].servers[0].slots = 4 })]
+]
+refusals.forEach(([title, code, document, versionInForce]) => test(`${title} is refused with its code`, () => {
+  const verified = verifySignedBundle({ document, trustedKeys, versionInForce })
+  assert.equal(verified.ok ? undefined : verified.error.code, code)
+}))
+
+test('signing refuses a second signature by the same key and a wrong key', () => {
+  const twice = signBundle({ document: signed, role: SignerRole.Approver, privateKey: author.privateKey })
+  assert.equal(twice.ok ? undefined : twice.error.code, ResultCode.BundleNotApproved)
+  const wrong = [readPublicKey('AAAA'), readPublicKey(`!${author.publicKey}`), readPrivateKey(asDer(author.privateKey))]
+  wrong.forEach(read => assert.equal(read.ok ? undefined : read.error.code, ResultCode.KeyInvalid))
+})
+
+test('canonical JSON depends on the value alone, not on the order of keys', () => {
+  fastCheck.assert(fastCheck.property(fastCheck.jsonValue({ maxDepth: 4 }), value => {
+    const reverse = (part: unknown): unknown => Array.isArray(part)
+      ? part.map(reverse)
+      : typeof part === 'object' && part !== null ? Object.fromEntries(Object.entries(part).reverse().map(([key, inner]) => [key, reverse(inner)])) : part
+    const text = formatCanonicalJson(value)
+    assert.equal(formatCanonicalJson(reverse(value)), text)
+    assert.deepEqual(JSON.parse(text), JSON.parse(JSON.stringify(value)))
+  }), { seed: 20_261_204, numRuns: 300 })
+})
