Start the entry host as a daemon with its control loops (not yet compiled together)

Cause: the loops around membership, bundles, measuring and claims were missing. Ruled out: one loop for all, since a fault in one would stop the others. Change: a supervised process for each loop, operators' listener, state dump.

--- a/daemon/entry-host/src/controlLoops/keepMembership.ts
+++ b/daemon/entry-host/src/controlLoops/keepMembership.ts
@@ -97,7 +97,7 @@
     logger,
     body: function * (): ProcessBody {
       while (true) {
-        const settled = yield take(fromPromise(options.hostList.read()))
+        const settled = yield take(fromPromise(options.hostList.list()))
         if (settled?.ok === true && settled.value.ok === true) {
           const hosts = settled.value.value as ListedHost[]
           const entryHosts = hosts.filter(({ role }) => role === HostRole.Entry)
--- /dev/null
+++ b/daemon/entry-host/src/controlLoops/shareCapacity.ts
@@ -0,0 +1,36 @@
+// Divides what all entry hosts share by their number as membership sees it: the write rate of the table
+// service and the connections of each server. A wrong number costs throughput and nothing else.
+import { computeConnectionShare } from '@siskinbeam/connection-shares/computeConnectionShare'
+import type { Logger } from '@siskinbeam/logging/createLogger'
+import { sleep, type ProcessBody } from '@siskinbeam/processes/channels'
+import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import type { EntryHost } from '../entryHost.js'
+
+export interface ShareCapacityOptions {
+  host: EntryHost
+  logger: Logger
+  countEntryHosts: () => number
+}
+
+const intervalMilliseconds = 1_000
+
+/** Starts the loop. */
+export function shareCapacity ({ host, logger, countEntryHosts }: ShareCapacityOptions): { stop: () => void } {
+  return superviseProcess({
+    name: 'capacity',
+    logger,
+    body: function * (): ProcessBody {
+      while (true) {
+        const active = host.activeBundle()
+        const entryHosts = countEntryHosts()
+        if (active !== undefined) {
+          host.claims.setRate(active.bundle.platform.tableWritesPerSecond / entryHosts)
+          active.services.forEach(({ servers }) => servers.forEach(({ place, connections }) => {
+            connections.maxSockets = computeConnectionShare({ connections: place.connections, liveEntryHosts: entryHosts })
+          }))
+        }
+        yield sleep(intervalMilliseconds)
+      }
+    }
+  })
+}
--- a/daemon/entry-host/src/requestPath/accountFor.ts
+++ b/daemon/entry-host/src/requestPath/accountFor.ts
@@ -52,7 +52,7 @@
     requestId,
     message: account.message,
     retryAfterMilliseconds: account.retryAfterMilliseconds,
-    addresses: host.listAddresses(exchange)
+    addresses: host.listAddresses(undefined).addresses
   })
   response.writeHead(description.status ?? 500, {
     'content-type': 'application/json',
--- a/daemon/entry-host/src/requestPath/identifyRequest.ts
+++ b/daemon/entry-host/src/requestPath/identifyRequest.ts
@@ -62,9 +62,12 @@
     .find(account => account !== undefined)
   if (wrongHeader !== undefined) return accountFor(exchange, wrongHeader)
 
+  if (host.refusing()) {
+    return accountFor(exchange, { code: ResultCode.HostLeaving, message: `host ${host.name} is shutting down`, retryAfterMilliseconds: 0 })
+  }
   const active = host.activeBundle()
-  if (active === undefined) {
-    return accountFor(exchange, { code: ResultCode.NoBundle, message: 'no bundle in force', retryAfterMilliseconds: 1_000 })
+  if (active === undefined || !host.mayServe()) {
+    return accountFor(exchange, { code: ResultCode.NoBundle, message: active === undefined ? 'no bundle in force' : 'the present bundle is being asked for after a pause', retryAfterMilliseconds: 1_000 })
   }
   const { service, route } = active.findRoute(request.method ?? '', exchange.path)
   if (service === undefined) return accountFor(exchange, { code: ResultCode.UnknownService, message: 'no service has this path' })
--- a/daemon/entry-host/src/servers/createServiceRuntimes.ts
+++ b/daemon/entry-host/src/servers/createServiceRuntimes.ts
@@ -1,31 +1,92 @@
 // Makes the runtimes of the services of a bundle. What was learnt about a server, and its
 // connections, outlive a change of bundle that leaves the server in place.
-import type { Bundle, ServerPlace } from '@siskinbeam/schema/bundle'
+import { createAdmissionState } from '@siskinbeam/admission/stepAdmission'
+import { createHedgingState } from '@siskinbeam/hedging/decideHedge'
+import { createProbingState, ProbingEventKind, stepProbing } from '@siskinbeam/probing/stepProbing'
+import { createRetryBudget } from '@siskinbeam/retries/retryBudget'
+import type { Bundle, ServerPlace, ServiceRule } from '@siskinbeam/schema/bundle'
+import { ChoiceEventKind, createServerChoiceState } from '@siskinbeam/server-choice/choiceState'
+import { stepServerChoice } from '@siskinbeam/server-choice/stepServerChoice'
+import { createServerHealthState, HealthEventKind } from '@siskinbeam/server-health/healthState'
+import { stepServerHealth } from '@siskinbeam/server-health/stepServerHealth'
 import { splitAddress } from '@siskinbeam/settings/settingChecks'
+import { chooseSubset } from '@siskinbeam/subsets/chooseSubset'
 import { ServerConnections } from './serverConnections.js'
 import type { ServerRuntime, ServiceRuntime } from './serviceRuntime.js'
 
 export interface CreateServiceRuntimesOptions {
   bundle: Bundle
   previous: Map<string, ServiceRuntime>
+  hostName: string
+  dataCentre: string
   now: () => number
+  random: () => number
   outgoingAddress: string | undefined
 }
 
+/** A host whose round trip to a data centre is not stated counts as this far. */
+const assumedRoundTripMilliseconds = 1
+/** Slots of the whole service are a generous first guess of a host's limit; it adapts within a second. */
+const smallestLimit = 4
+
 /** Makes the runtimes of a bundle from those of the one before. */
-export function createServiceRuntimes ({ bundle, previous, now, outgoingAddress }: CreateServiceRuntimesOptions): Map<string, ServiceRuntime> {
-  const createServer = (place: ServerPlace): ServerRuntime => ({
+export function createServiceRuntimes (options: CreateServiceRuntimesOptions): Map<string, ServiceRuntime> {
+  return new Map(options.bundle.services.map(rule => [rule.name, createServiceRuntime(options, rule)]))
+}
+
+function createServiceRuntime (options: CreateServiceRuntimesOptions, rule: ServiceRule): ServiceRuntime {
+  const { bundle, now, random } = options
+  const before = options.previous.get(rule.name)
+  const roundTrips = bundle.dataCentres.find(({ name }) => name === options.dataCentre)?.roundTripMilliseconds ?? {}
+  const places = chooseSubset({
+    hostSeed: options.hostName,
+    servers: rule.servers,
+    size: rule.subsetSize,
+    readRoundTripMilliseconds: dataCentre => dataCentre === options.dataCentre ? 0 : roundTrips[dataCentre] ?? assumedRoundTripMilliseconds
+  })
+  const servers = new Map(places.map((place): [string, ServerRuntime] => {
+    const known = before?.servers.get(place.name)
+    return [place.name, known?.place.address === place.address ? Object.assign(known, { place }) : createServer(options, place)]
+  }))
+  const slots = places.reduce((sum, place) => sum + place.slots, 0)
+  const runtime: ServiceRuntime = {
+    rule,
+    servers,
+    choice: before?.choice ?? createServerChoiceState(),
+    health: before?.health ?? createServerHealthState(),
+    probing: before?.probing ?? createProbingState(bundle.measuring),
+    // Waiting requests stay with their admission, so it is replaced only if its rule changed.
+    admission: before !== undefined && before.rule.limits.queueLength === rule.limits.queueLength && before.admission.admittedShares.length === bundle.guestClasses.length
+      ? before.admission
+      : createAdmissionState({
+        queueLength: rule.limits.queueLength,
+        classCount: bundle.guestClasses.length,
+        initialLimit: Math.max(smallestLimit, slots),
+        maximumLimit: Math.max(smallestLimit, 2 * slots)
+      }),
+    admitted: before?.admitted ?? new Map(),
+    retryBudget: Object.assign(before?.retryBudget ?? createRetryBudget({ budgetShare: rule.retry.budgetShare, now: now() }), { budgetShare: rule.retry.budgetShare }),
+    hedging: before !== undefined && before.rule.hedging.percentile === rule.hedging.percentile && before.rule.hedging.enabled === rule.hedging.enabled
+      ? before.hedging
+      : createHedgingState(rule.hedging)
+  }
+  const names = [...servers.keys()]
+  stepServerChoice({ state: runtime.choice, event: { kind: ChoiceEventKind.ServersChanged, servers: places.map(({ name, slots: serverSlots }) => ({ name, slots: serverSlots })) }, now: now() })
+  stepServerHealth({ state: runtime.health, event: { kind: HealthEventKind.ServersChanged, servers: names }, now: now() })
+  const takeBudget = (): boolean => false
+  stepProbing({ state: runtime.probing, event: { kind: ProbingEventKind.RuleChanged, rule: bundle.measuring }, now: now(), random, takeBudget })
+  stepProbing({ state: runtime.probing, event: { kind: ProbingEventKind.ServersChanged, servers: names }, now: now(), random, takeBudget })
+  return runtime
+}
+
+function createServer ({ now, outgoingAddress }: CreateServiceRuntimesOptions, place: ServerPlace): ServerRuntime {
+  return {
     place,
     ...splitAddress(place.address),
     connections: new ServerConnections({ now, maximumConnections: place.connections, outgoingAddress }),
-    inFlight: 0
-  })
-  return new Map(bundle.services.map(rule => {
-    const before = previous.get(rule.name)
-    const servers = rule.servers.map((place): [string, ServerRuntime] => {
-      const known = before?.servers.get(place.name)
-      return [place.name, known?.place.address === place.address ? Object.assign(known, { place }) : createServer(place)]
-    })
-    return [rule.name, { rule, servers: new Map(servers) }]
-  }))
+    boot: '',
+    openSends: new Set(),
+    brokenSends: [],
+    deathCheck: undefined
+  }
 }
--- a/daemon/entry-host/src/startEntryHost.ts
+++ b/daemon/entry-host/src/startEntryHost.ts
@@ -1,109 +1,240 @@
 // Starts an entry host: its listeners, and the control loops around the decision modules.
-import { performance } from 'node:perf_hooks'
 import type { AddressInfo } from 'node:net'
 import type { Server } from 'node:http'
-import { createLogger, LogLevel } from '@siskinbeam/logging/createLogger'
-import { createMetrics } from '@siskinbeam/metrics/createMetrics'
+import { createHostListClient, HostRole, HostState, type ListedHost } from '@siskinbeam/clients/createHostListClient'
+import { createObjectClient } from '@siskinbeam/clients/createObjectClient'
+import { createTableClient } from '@siskinbeam/clients/createTableClient'
+import { answerAddresses } from '@siskinbeam/entry-addresses/answerAddresses'
+import { countLiveEntryHosts, listDataCentrePeers, listLiveEntryHosts } from '@siskinbeam/entry-hosts/listEntryHosts'
+import { createBootId, type MemberEntry } from '@siskinbeam/entry-hosts/memberEntry'
+import { createPeerClients } from '@siskinbeam/exchange/createPeerClients'
+import { servePeers } from '@siskinbeam/exchange/servePeers'
+import { checkInvariant, Invariant, setViolationHandler } from '@siskinbeam/invariants/checkInvariant'
+import { createLogger, type Logger } from '@siskinbeam/logging/createLogger'
+import { createMetrics, type Metrics } from '@siskinbeam/metrics/createMetrics'
 import { createRandom } from '@siskinbeam/random/createRandom'
-import type { Bundle } from '@siskinbeam/schema/bundle'
-import { createRouteFinder } from '@siskinbeam/schema/findRoute'
+import type { Result } from '@siskinbeam/result-codes/codedError'
+import { succeed } from '@siskinbeam/result-codes/codedError'
+import { HealthEventKind } from '@siskinbeam/server-health/healthState'
+import type { SettingValues } from '@siskinbeam/settings/readSettings'
 import { splitAddress } from '@siskinbeam/settings/settingChecks'
-import type { ActiveBundle, EntryHost } from './entryHost.js'
-import { createGuestListener } from './guestListener.js'
-import { dispatchRequest } from './requestPath/dispatchRequest.js'
-import { joinFilters, type Exchange } from './requestPath/exchange.js'
-import { identifyRequest } from './requestPath/identifyRequest.js'
-import { readBody } from './requestPath/readBody.js'
-import { createServiceRuntimes } from './servers/createServiceRuntimes.js'
+import { readTrustedKeys } from '@siskinbeam/signatures/signingKeys'
+import { exchangeNews } from './controlLoops/exchangeNews.js'
+import { keepMembership, type MembershipLoop } from './controlLoops/keepMembership.js'
+import { measureServers } from './controlLoops/measureServers.js'
+import { shareCapacity } from './controlLoops/shareCapacity.js'
+import { shortenDigest, watchBundles, type BundleWatch } from './controlLoops/watchBundles.js'
+import { createHostCore, HostPhase, type HostCore } from './createHostCore.js'
+import type { AddressList } from './entryHost.js'
+import type { entryHostSettings } from './entryHostSettings.js'
+import { describeHost } from './operators/describeHost.js'
+import { createOperatorsListener } from './operators/serveOperators.js'
+import { feedHealth } from './servers/observeServers.js'
 
-export interface StartEntryHostOptions {
-  name: string
-  guestAddress: string
-  outgoingAddress?: string | undefined
-  seed: number
-  logLevel?: LogLevel
-}
+export type EntryHostSettings = SettingValues<typeof entryHostSettings>
 
 /** An entry host that runs. */
 export interface RunningEntryHost {
-  host: EntryHost
   guestAddress: string
-  putBundleInForce: (bundle: Bundle, digest: string) => void
-  stop: () => Promise<void>
+  peerAddress: string
+  dump: () => string
+  /** Shuts down gracefully: no exchange is cut short and no settlement is lost within the drain time. */
+  leave: () => Promise<void>
 }
 
-/** Starts an entry host in this process. */
-export async function startEntryHost (options: StartEntryHostOptions): Promise<RunningEntryHost> {
-  const logger = createLogger({ component: 'entry-host', level: options.logLevel ?? LogLevel.Info, fields: { host: options.name } })
+const peerTimeoutMilliseconds = 500
+const peerGraceMilliseconds = 500
+const leavePollMilliseconds = 20
+const defaultAddressRule = { maximumAddresses: 6, timeToLiveSeconds: 2 }
+
+/** Starts an entry host in this process. Fails with KeyInvalid if a trusted key can't be read. */
+export async function startEntryHost (settings: EntryHostSettings): Promise<Result<RunningEntryHost>> {
+  const trustedKeys = readTrustedKeys(settings.trustedKeys)
+  if (!trustedKeys.ok) return trustedKeys
+  const logger = createLogger({ component: 'entry-host', level: settings.logLevel, fields: { host: settings.host } })
   const metrics = createMetrics()
-  let active: ActiveBundle | undefined
-  const host: EntryHost = {
-    name: options.name,
+  countViolations(logger, metrics)
+  const seed = settings.seed === 0 ? Math.floor(Math.random() * 0x7fff_ffff) : settings.seed
+  const random = createRandom(seed)
+  const bootId = createBootId({ epochMilliseconds: Date.now(), random: Math.random })
+  const table = createTableClient({ address: settings.tableAddress })
+  const objects = createObjectClient({ address: settings.objectStoreAddress })
+  const hostList = createHostListClient({ address: settings.hostListAddress })
+  const now = (): number => performance.now()
+  const peerClients = createPeerClients({ key: settings.peerKey, timeoutMilliseconds: peerTimeoutMilliseconds, now })
+
+  let membership: MembershipLoop | undefined
+  let bundles: BundleWatch | undefined
+  const livePeers = (): MemberEntry[] => membership === undefined ? [] : listLiveEntryHosts(membership.state, now()).slice(1)
+  const listAddresses = (dataCentre: string | undefined): AddressList => membership === undefined
+    ? { addresses: [], timeToLiveSeconds: defaultAddressRule.timeToLiveSeconds }
+    : answerAddresses({
+      membership: membership.state,
+      ...(dataCentre === undefined ? {} : { dataCentre }),
+      rule: core.host.activeBundle()?.bundle.entryAddresses ?? defaultAddressRule,
+      now: now(),
+      random
+    })
+  const news = exchangeNews({
+    host: () => core.host,
+    own: () => membership?.state.own as MemberEntry,
+    livePeers,
+    peerClients,
+    bundleDigestPrefix: () => shortenDigest(bundles?.head())
+  })
+  const core: HostCore = createHostCore({
+    name: settings.host,
+    boot: bootId,
+    dataCentre: settings.dataCentre,
+    outgoingAddress: settings.outgoingAddress,
+    seed: Math.floor(random() * 0x7fff_ffff),
     logger,
     metrics,
-    random: createRandom(options.seed),
-    now: () => performance.now(),
-    epochNow: () => Date.now(),
-    activeBundle: () => active,
-    leaving: () => false,
-    listAddresses: () => []
-  }
-  const serveExchange = joinFilters([identifyRequest, readBody, dispatchRequest])
-  const listener = createGuestListener({
-    onRequest: (request, response) => {
-      response.on('error', () => {})
-      request.on('error', () => {})
-      const exchange: Exchange = {
-        host,
-        request,
-        response,
-        receivedAt: host.now(),
-        path: (request.url ?? '').split('?', 1)[0] ?? '',
-        requestId: '',
-        deadlineAt: Infinity,
-        depth: 0,
-        service: undefined,
-        route: undefined,
-        guestClass: '',
-        key: undefined,
-        guestAttempt: undefined,
-        claim: undefined,
-        sendAgain: undefined,
-        retriedAbove: false,
-        body: null,
-        sends: 0,
-        provablyNotStarted: 0,
-        finished: false,
-        onFinished: []
+    table,
+    listAddresses,
+    mayServe: () => bundles?.mayServe() ?? false,
+    announceCrash: news.announceCrash,
+    shareReports: news.shareReports
+  })
+
+  const peerServer = await servePeers({
+    address: settings.peerAddress,
+    peerKey: settings.peerKey,
+    operatorKey: settings.operatorKey,
+    logger,
+    handlers: {
+      exchange: message => (membership as MembershipLoop).answerExchange(message),
+      fetchBundle: async version => (bundles as BundleWatch).fetchForPeer(version),
+      dump: () => dump(),
+      status: () => {
+        const status = bundles?.status()
+        return {
+          host: settings.host,
+          bootId,
+          bundleVersion: status?.inForce?.version ?? 0,
+          bundleDigest: status?.inForce?.digest ?? '',
+          signers: status?.inForce === undefined ? [] : [status.inForce.author, status.inForce.approver],
+          leaving: core.host.leaving(),
+          inFlight: core.inFlight(),
+          isolatedMilliseconds: status?.isolatedMilliseconds ?? 0
+        }
       }
-      serveExchange(exchange)
+    }
+  })
+  const guestAddress = await listen(core.listener, settings.guestAddress)
+  membership = keepMembership({
+    place: { host: settings.host, bootId, dataCentre: settings.dataCentre, guestAddress, peerAddress: peerServer.address },
+    seedPeers: settings.seedPeers,
+    peerClients,
+    hostList,
+    logger,
+    metrics,
+    now,
+    random,
+    tellNews: news.tell,
+    hearNews: message => {
+      news.hear(message)
+      bundles?.hearPeer(message)
     },
-    onRefused: (code, reason) => {
-      metrics.count(`accounts_total{code="${code}"}`)
-      logger.info('connection refused', { code, reason })
+    onHostList: hosts => noteListedServers(core, hosts)
+  })
+  const loop = membership
+  bundles = watchBundles({
+    trustedKeys: trustedKeys.value,
+    table,
+    objects,
+    peerClients,
+    listPeers: livePeers,
+    listedHosts: loop.listedHosts,
+    logger,
+    metrics,
+    now,
+    random,
+    putInForce: ({ bundle, digest }) => {
+      core.putInForce(bundle, digest)
+      loop.bundleActivated(bundle.version)
     }
   })
-  const guestAddress = await listen(listener, options.guestAddress)
-  return {
-    host,
+  const watch = bundles
+  const measuring = measureServers({ host: core.host, logger, listNearPeers: () => listDataCentrePeers(loop.state).map(({ host }) => host) })
+  const capacity = shareCapacity({ host: core.host, logger, countEntryHosts: () => countLiveEntryHosts(loop.state, now()) })
+  const dump = (): string => JSON.stringify(describeHost({ host: core.host, membership: loop.state, rollout: watch.status(), inFlight: core.inFlight() }))
+  metrics.gauge('bundle_version', () => watch.head()?.version ?? 0)
+  metrics.gauge('isolated_milliseconds', () => watch.status().isolatedMilliseconds ?? 0)
+  metrics.gauge('live_entry_hosts', () => countLiveEntryHosts(loop.state, now()))
+  const operators = settings.metricsAddress === ''
+    ? undefined
+    : createOperatorsListener({ operatorKey: settings.operatorKey, renderMetrics: metrics.render, dump })
+  if (operators !== undefined) await listen(operators, settings.metricsAddress)
+  logger.info('host started', { bootId, dataCentre: settings.dataCentre, guestAddress, peerAddress: peerServer.address, seed })
+
+  const stopAll = async (): Promise<void> => {
+    [loop, watch, measuring, capacity].forEach(part => part.stop())
+    operators?.close()
+    operators?.closeAllConnections()
+    core.stop()
+    await peerServer.close(peerGraceMilliseconds)
+    peerClients.closeAll()
+    ;[table, objects, hostList].forEach(client => client.close())
+  }
+  let leavingPromise: Promise<void> | undefined
+  return succeed({
     guestAddress,
-    putBundleInForce: (bundle, digest) => {
-      const services = createServiceRuntimes({ bundle, previous: active?.services ?? new Map(), now: host.now, outgoingAddress: options.outgoingAddress })
-      active = { bundle, digest, findRoute: createRouteFinder(bundle), services }
-      logger.info('bundle in force', { version: bundle.version, digest })
-    },
-    stop: () => new Promise(resolve => {
-      listener.close(() => resolve())
-      listener.closeAllConnections()
-    })
+    peerAddress: peerServer.address,
+    dump,
+    leave: () => {
+      leavingPromise ??= leaveGracefully(core, loop, settings, logger).then(stopAll)
+      return leavingPromise
+    }
+  })
+}
+
+async function leaveGracefully (core: HostCore, membership: MembershipLoop, settings: EntryHostSettings, logger: Logger): Promise<void> {
+  core.setPhase(HostPhase.Leaving)
+  membership.leave()
+  await wait(settings.leavingSeconds * 1_000)
+  core.setPhase(HostPhase.Refusing)
+  const deadline = performance.now() + settings.drainSeconds * 1_000
+  const drain = async (): Promise<void> => {
+    if (core.inFlight() === 0 || performance.now() >= deadline) return
+    await wait(leavePollMilliseconds)
+    await drain()
   }
+  await drain()
+  await Promise.race([core.host.claims.flush(), wait(Math.max(0, deadline - performance.now()))])
+  checkInvariant({
+    invariant: Invariant.GracefulStop,
+    holds: core.inFlight() === 0,
+    detail: () => `${core.inFlight()} exchanges were in progress after ${settings.drainSeconds} s`
+  })
+  logger.info('host stopped', { inFlight: core.inFlight() })
 }
 
-async function listen (server: Server, address: string): Promise<string> {
+function noteListedServers (core: HostCore, hosts: ListedHost[]): void {
+  const leaving = new Set(hosts.filter(({ role, state }) => role === HostRole.Server && state === HostState.Leaving).map(({ name }) => name))
+  core.host.activeBundle()?.services.forEach(service => feedHealth(core.host, service, { kind: HealthEventKind.HostListRead, leaving }))
+}
+
+function countViolations (logger: Logger, metrics: Metrics): void {
+  setViolationHandler((invariant, detail) => {
+    metrics.count(`invariant_violations_total{invariant="${invariant}"}`)
+    logger.error('invariant violated', { invariant, detail })
+  })
+}
+
+function wait (milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+/** Binds a listener and gives the address that it got. */
+export async function listen (server: Server, address: string): Promise<string> {
   const { host, port } = splitAddress(address)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen(port, host, () => resolve())
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve()
+    })
   })
   const bound = server.address() as AddressInfo
   return `${bound.address}:${bound.port}`
--- a/daemon/entry-host/test/support/startPath.ts
+++ b/daemon/entry-host/test/support/startPath.ts
@@ -1,10 +1,15 @@
 // Starts an entry host in this process before servers that a test controls byte by byte.
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { setViolationHandler } from '@siskinbeam/invariants/checkInvariant'
-import { LogLevel } from '@siskinbeam/logging/createLogger'
+import { createTableClient } from '@siskinbeam/clients/createTableClient'
+import { createLogger, LogLevel } from '@siskinbeam/logging/createLogger'
+import { createMetrics } from '@siskinbeam/metrics/createMetrics'
+import { formatCodedError } from '@siskinbeam/result-codes/codedError'
 import { checkBundle } from '@siskinbeam/schema/checkBundle'
 import type { BundleInput } from '@siskinbeam/schema/bundle'
-import { startEntryHost, type RunningEntryHost } from '../../src/startEntryHost.js'
+import { createHostCore, makeBootId } from '../../src/createHostCore.js'
+import type { EntryHost } from '../../src/entryHost.js'
+import { listen } from '../../src/startEntryHost.js'
 
 /** A server that answers each request as the function given says. */
 export interface ScriptedServer {
@@ -51,14 +56,48 @@
   return { formatVersion: 1, name: 'test', version: 1, previousDigest: null, dataCentres: [{ name: 'north' }], services: [service as never] }
 }
 
-/** Starts an entry host with the bundle in force. */
-export async function startPath (input: BundleInput): Promise<RunningEntryHost> {
+/** An entry host without control loops. */
+export interface StartedPath {
+  guestAddress: string
+  host: EntryHost
+  putInForce: (bundle: BundleInput) => void
+  stop: () => Promise<void>
+}
+
+/** Starts an entry host with the bundle in force. Without a table address, the table service is out. */
+export async function startPath (input: BundleInput, tableAddress = '127.0.0.1:9', name = 'entry-1'): Promise<StartedPath> {
   setViolationHandler()
-  const bundle = checkBundle(input)
-  if (!bundle.ok) throw new Error(bundle.error.message)
-  const running = await startEntryHost({ name: 'entry-1', guestAddress: '127.0.0.1:0', seed: 1, logLevel: LogLevel.Error })
-  running.putBundleInForce(bundle.value, 'test')
-  return running
+  const table = createTableClient({ address: tableAddress })
+  const core = createHostCore({
+    name,
+    boot: makeBootId(),
+    dataCentre: 'north',
+    outgoingAddress: undefined,
+    seed: 1,
+    logger: createLogger({ component: 'test', level: LogLevel.Error }),
+    metrics: createMetrics(),
+    table,
+    listAddresses: () => ({ addresses: [], timeToLiveSeconds: 1 }),
+    mayServe: () => true,
+    announceCrash: async () => {},
+    shareReports: () => {}
+  })
+  const putInForce = (next: BundleInput): void => {
+    const bundle = checkBundle(next)
+    if (!bundle.ok) throw new Error(formatCodedError(bundle.error))
+    core.putInForce(bundle.value, `digest-${bundle.value.version}`)
+  }
+  putInForce(input)
+  const guestAddress = await listen(core.listener, '127.0.0.1:0')
+  return {
+    guestAddress,
+    host: core.host,
+    putInForce,
+    stop: async () => {
+      core.stop()
+      table.close()
+    }
+  }
 }
 
 /** Sends raw text and gives all that comes back until the connection closes or is idle. */
--- a/stand-ins/server/src/serveServer.ts
+++ b/stand-ins/server/src/serveServer.ts
@@ -41,6 +41,7 @@
 
 const loadPath = '/.load'
 const longestRunLog = 200_000
+const longestProbeLog = 100_000
 const coldStartFactor = 3
 const longestNoiseMilliseconds = 200
 const latencyWeight = 0.1
@@ -63,6 +64,14 @@
     if (options.runLog !== undefined) appendFileSync(options.runLog, JSON.stringify(run) + '\n')
   }
 
+  // Probes by their source, so that a run can check the budget without the word of those who probe.
+  const probes = new Map<string, number[]>()
+  const noteProbe = (source: string): void => {
+    const times = probes.get(source) ?? []
+    if (times.length < longestProbeLog) times.push(Date.now())
+    probes.set(source, times)
+  }
+
   const drawServiceTime = (): number => {
     const now = Date.now()
     if (options.noiseFactor > 1 && now > noise.until) {
@@ -156,6 +165,7 @@
     }
     if (request.url === loadPath) {
       request.resume()
+      noteProbe(request.socket.remoteAddress ?? '')
       afterNetworkDelay(request, () => answer(request, response, 200, {}, ''))
       return
     }
@@ -182,6 +192,7 @@
     }
     const handlers: Record<string, (body: string) => void> = {
       'GET /runs': () => answerControl(200, runs),
+      'GET /probes': () => answerControl(200, Object.fromEntries(probes)),
       'GET /state': () => answerControl(200, { boot, faults, inFlight: slots.inFlight(), queued: slots.queued(), connections: sockets.size }),
       'POST /control': body => {
         const { crash: crashNow, silentConnections, ...change } = JSON.parse(body) as Record<string, unknown>
