Test claims under faults with a seeded simulation

Cause: the two machines were not exercised. Ruled out: recovering a claim whose transaction had no answer by a new group; the simulation allows it, but a claim that was withdrawn meanwhile stays claimed. Change: six simulated hosts with lost, late and refused transactions, pauses, crashes, wrong clocks and guests that send copies; unit tests of timing and bounds. A repeated request reads its row first, and reads without an answer are spaced like polls.

--- /dev/null
+++ b/claims/group-commit/test/simulatedHosts.ts
@@ -0,0 +1,211 @@
+// Entry hosts with their guests and servers, driven through the claim and group commit machines.
+// Hosts pause past their leases, crash, and have wrong clocks. Guests send copies of a request to
+// several hosts, also while earlier copies are on their way.
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { StoreOutageRule } from '@siskinbeam/schema/bundle'
+import { ClaimCommandKind, ClaimEventKind, type ClaimCommand, type ClaimEvent } from '@siskinbeam/request-claims/claimMessages'
+import { ClaimPhase, createClaimState, maySend, type ClaimState } from '@siskinbeam/request-claims/claimState'
+import { stepClaim } from '@siskinbeam/request-claims/stepClaim'
+import { GroupCommitCommandKind, GroupCommitEventKind, type GroupCommitCommand, type GroupCommitEvent } from '../src/groupCommitMessages.js'
+import { createGroupCommitState, isIdle, type GroupCommitState } from '../src/groupCommitState.js'
+import { stepGroupCommit } from '../src/stepGroupCommit.js'
+import { createRequestRecord, type Copy, type RequestRecord } from './requestRecord.js'
+import { createSimulatedStore, createSimulatedTime } from './simulatedStore.js'
+
+const hostCount = 6
+const longestPauseMilliseconds = 3_000
+const maximumCopies = 5
+const drainMilliseconds = 30_000
+
+interface Running { claim: ClaimState, copy: Copy, sendNumber: number, wakeNumber: number, gotResponse: boolean, answered: () => void }
+interface Host { name: string, boot: number, sequence: number, clockOffset: number, pausedUntil: number, group: GroupCommitState, wakeNumber: number, claims: Map<string, Running> }
+interface Guest { key: string, fingerprint: string, copies: number, declare: (number: number) => number | undefined }
+
+export interface SimulationReport extends Pick<RequestRecord, 'violations' | 'counts'> {
+  steps: number
+  /** Claims and group commits that were not finished some time after the last fault. */
+  unfinished: number
+}
+
+/** Runs the simulation until the number of steps of both machines is reached, then lets it come to rest. */
+export function simulateHosts ({ seed, steps: wantedSteps, withFaults = true }: { seed: number, steps: number, withFaults?: boolean }): SimulationReport {
+  const time = createSimulatedTime(seed)
+  const { after, chance, between } = time
+  const store = createSimulatedStore(time)
+  const record = createRequestRecord()
+  let steps = 0
+  let faulty = withFaults
+  store.setFaults(withFaults)
+
+  const createGroup = (now: number): GroupCommitState => createGroupCommitState({ now, transactionsPerSecond: 50, maximumQueuedClaims: 20 })
+  const hosts = Array.from({ length: hostCount }, (_, index): Host => {
+    const clockOffset = between(0, 1_000_000)
+    return { name: `entry-${index}`, boot: 1, sequence: 0, clockOffset, pausedUntil: 0, group: createGroup(clockOffset), wakeNumber: 0, claims: new Map() }
+  })
+  const readClock = ({ clockOffset }: Host): number => time.now() + clockOffset
+
+  // An action of a host waits while the host is paused and is lost when it crashes.
+  const onHost = (host: Host, milliseconds: number, action: () => void, boot = host.boot): void => after(milliseconds, () => {
+    if (host.boot !== boot) return
+    if (time.now() < host.pausedUntil) onHost(host, host.pausedUntil - time.now(), action, boot)
+    else action()
+  })
+
+  const stepGroup = (host: Host, event: GroupCommitEvent): void => {
+    steps += 1
+    stepGroupCommit({ state: host.group, event, now: readClock(host) }).forEach(command => obeyGroup(host, command))
+  }
+  const obeyGroup = (host: Host, command: GroupCommitCommand): void => {
+    if (command.kind === GroupCommitCommandKind.Transact) {
+      const { transaction, operations } = command
+      store.transact(operations, result => {
+        record.count(`transaction ${result.kind}`)
+        onHost(host, 1, () => stepGroup(host, { kind: GroupCommitEventKind.TransactionDone, transaction, result }))
+      })
+    } else if (command.kind === GroupCommitCommandKind.Report) {
+      const { attempt, writeId, result } = command
+      // A write may be refused while the claim's own step is being obeyed, hence the delay.
+      onHost(host, 0, () => step(host, attempt, { kind: ClaimEventKind.WriteDone, writeId, result }))
+    } else {
+      const number = ++host.wakeNumber
+      onHost(host, command.at - readClock(host), () => { if (host.wakeNumber === number) stepGroup(host, { kind: GroupCommitEventKind.Wake }) })
+    }
+  }
+
+  const step = (host: Host, attempt: string, event: ClaimEvent): void => {
+    const running = host.claims.get(attempt)
+    if (running === undefined) return
+    steps += 1
+    stepClaim({ state: running.claim, event, now: readClock(host) }).forEach(command => obey(host, attempt, running, command))
+  }
+  const obey = (host: Host, attempt: string, running: Running, command: ClaimCommand): void => {
+    const handle = claimCommands[command.kind] as (host: Host, attempt: string, running: Running, command: ClaimCommand) => void
+    handle(host, attempt, running, command)
+  }
+  const claimCommands: { [Kind in ClaimCommandKind]: (host: Host, attempt: string, running: Running, command: Extract<ClaimCommand, { kind: Kind }>) => void } = {
+    [ClaimCommandKind.Write]: (host, _attempt, _running, { write }) => stepGroup(host, { kind: GroupCommitEventKind.Offer, write }),
+    [ClaimCommandKind.Withdraw]: (host, _attempt, _running, { writeId }) => stepGroup(host, { kind: GroupCommitEventKind.Withdraw, writeId }),
+    [ClaimCommandKind.Read]: (host, attempt, _running, { key }) => store.read(key, row => onHost(host, 1, () => step(host, attempt, row === undefined
+      ? { kind: ClaimEventKind.ReadFailed }
+      : { kind: ClaimEventKind.RowRead, row, tableTimeMilliseconds: store.tableTime() }))),
+    [ClaimCommandKind.WakeAt]: (host, attempt, running, { at }) => {
+      const number = ++running.wakeNumber
+      onHost(host, at - readClock(host), () => { if (running.wakeNumber === number) step(host, attempt, { kind: ClaimEventKind.Wake }) })
+    },
+    [ClaimCommandKind.Send]: (host, attempt, running) => onHost(host, between(0, 20), () => send(host, attempt, running)),
+    [ClaimCommandKind.Answer]: (_host, _attempt, running, { code, outcome }) => {
+      record.noteAnswer(running.copy, code, outcome)
+      running.answered()
+    },
+    [ClaimCommandKind.Replay]: (_host, _attempt, running, { answer }) => {
+      record.noteReplay(running.copy, answer)
+      running.answered()
+    },
+    [ClaimCommandKind.Done]: (host, attempt, running) => {
+      if (running.gotResponse) record.noteAcknowledged(running.copy)
+      host.claims.delete(attempt)
+    }
+  }
+
+  const send = (host: Host, attempt: string, running: Running): void => {
+    if (chance(0.08)) return step(host, attempt, { kind: ClaimEventKind.GiveUp, code: ResultCode.NoServer })
+    if (!maySend({ state: running.claim, now: readClock(host) })) return
+    step(host, attempt, { kind: ClaimEventKind.SendStarted })
+    const number = ++running.sendNumber
+    const result = (event: ClaimEvent): void => { if (running.sendNumber === number) step(host, attempt, event) }
+    const { sendBy } = running.claim.options
+    onHost(host, sendBy - readClock(host), () => result({ kind: ClaimEventKind.SendFailed, code: ResultCode.ServerTimedOut }))
+    // A pause between the check and the write makes the send late.
+    if (faulty && chance(0.004)) host.pausedUntil = time.now() + between(1, longestPauseMilliseconds)
+    onHost(host, 1, () => serve(host, running, result))
+  }
+
+  const serve = (host: Host, running: Running, result: (event: ClaimEvent) => void): void => {
+    const { copy, sendNumber: number } = running
+    record.noteSend(copy)
+    if (chance(0.1)) {
+      record.noteNotStarted(copy)
+      return onHost(host, between(1, 3), () => result({ kind: ClaimEventKind.NotStarted }))
+    }
+    if (chance(0.04)) return onHost(host, between(1, 3), () => result({ kind: ClaimEventKind.SendFailed, code: ResultCode.ServerFailedAfterSend }))
+    const kept = !chance(0.05)
+    const body = `answer to copy ${copy.number} of ${copy.key}`
+    record.noteRun(copy, body)
+    const latency = chance(0.1) ? between(400, 3_000) : between(1, 60)
+    if (chance(0.05)) return onHost(host, latency, () => result({ kind: ClaimEventKind.SendFailed, code: ResultCode.ServerFailedAfterSend }))
+    onHost(host, latency, () => {
+      running.gotResponse ||= running.claim.phase === ClaimPhase.Sent && running.sendNumber === number
+      result({ kind: ClaimEventKind.ServerAnswered, status: 200, headers: {}, body: kept ? Buffer.from(body) : null })
+    })
+  }
+
+  const accept = (host: Host, copy: Copy, answered: () => void): void => {
+    host.sequence += 1
+    const now = readClock(host)
+    const claim = createClaimState({
+      service: 'desk',
+      idempotencyKey: copy.key,
+      attempt: { host: host.name, boot: `boot-${host.boot}`, sequence: host.sequence },
+      fingerprint: copy.fingerprint,
+      guestAttempt: copy.declared,
+      sendBy: now + between(100, 1_500),
+      // Before its first answer a host knows the table's time only by its own clock, which may be wrong.
+      tableTimeOffsetMilliseconds: host.group.tableTimeOffsetMilliseconds ?? store.tableTime() - now + between(-2_000, 2_000),
+      recordLifetimeMilliseconds: 86_400_000,
+      storeOutage: chance(0.5) ? StoreOutageRule.Hold : StoreOutageRule.Refuse
+    })
+    host.claims.set(claim.attempt, { claim, copy, sendNumber: 0, wakeNumber: 0, gotResponse: false, answered })
+    step(host, claim.attempt, { kind: ClaimEventKind.Start })
+    if (chance(0.03)) onHost(host, between(1, 400), () => step(host, claim.attempt, { kind: ClaimEventKind.GuestLeft }))
+  }
+
+  const sendCopy = (guest: Guest): void => {
+    if (guest.copies >= maximumCopies) return
+    guest.copies += 1
+    const number = guest.copies
+    const copy: Copy = { key: guest.key, number, declared: guest.declare(number), fingerprint: chance(0.02) ? 'other' : guest.fingerprint }
+    const host = hosts[between(0, hostCount - 1)] as Host
+    let waiting = true
+    const sendAgain = (share: number): void => {
+      if (waiting && chance(share)) after(between(1, 300), () => sendCopy(guest))
+      waiting = false
+    }
+    // A copy may be stuck on its way to the host while the guest already sends the next one.
+    onHost(host, chance(0.1) ? between(100, longestPauseMilliseconds) : between(1, 5), () => accept(host, copy, () => sendAgain(0.5)))
+    after(between(30, 2_500), () => sendAgain(0.8))
+  }
+
+  const numberings: Array<Guest['declare']> = [number => number, number => number === 1 ? 1 : undefined, () => undefined]
+  const disturb = (): void => {
+    const host = hosts[between(0, hostCount - 1)] as Host
+    if (chance(1 / 5_000)) host.pausedUntil = time.now() + between(20, longestPauseMilliseconds)
+    if (chance(1 / 5_000)) {
+      record.count('crash')
+      Object.assign(host, { boot: host.boot + 1, sequence: 0, group: createGroup(readClock(host)), claims: new Map() })
+    }
+    if (chance(1 / 8_000)) {
+      record.count('outage')
+      store.setOutage(true)
+      after(between(100, 3_000), () => store.setOutage(false))
+    }
+  }
+
+  let keys = 0
+  const isEnough = (): boolean => steps >= wantedSteps
+  while (!isEnough()) {
+    time.advance()
+    if (faulty) disturb()
+    if (chance(0.15)) {
+      keys += 1
+      sendCopy({ key: `key-${keys}`, fingerprint: 'own', copies: 0, declare: numberings[between(0, numberings.length - 1)] as Guest['declare'] })
+    }
+  }
+  faulty = false
+  store.setFaults(false)
+  after(longestPauseMilliseconds, () => store.setOutage(false))
+  Array.from({ length: drainMilliseconds }).forEach(() => time.advance())
+  const bootsAlive = new Set(hosts.map(({ name, boot }) => `${name}/boot-${boot}`))
+  record.checkRows(store.table, store.tableTime(), attempt => !bootsAlive.has(attempt.slice(0, attempt.lastIndexOf('/'))))
+  const unfinished = hosts.reduce((sum, { claims, group }) => sum + claims.size + (isIdle(group) ? 0 : 1), 0)
+  return { violations: record.violations, counts: record.counts, steps, unfinished }
+}
--- /dev/null
+++ b/claims/group-commit/test/stepGroupCommit.test.ts
@@ -0,0 +1,125 @@
+// Guards against writes that wait too long, transactions beyond the rate, and a group that is changed
+// while an earlier copy of it may still take effect.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createRandom, pickIndex } from '@siskinbeam/random/createRandom'
+import { ClaimWriteKind, WriteResultKind, type ClaimWrite } from '@siskinbeam/request-claims/claimMessages'
+import { ClaimRowState } from '@siskinbeam/request-claims/claimRow'
+import { GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind, type GroupCommitCommand, type GroupCommitEvent, type TransactionResult } from '../src/groupCommitMessages.js'
+import { createGroupCommitState, isIdle } from '../src/groupCommitState.js'
+import { stepGroupCommit } from '../src/stepGroupCommit.js'
+
+const createWrite = (name: string, kind = ClaimWriteKind.Claim, key = name): ClaimWrite => ({
+  writeId: name,
+  kind,
+  attempt: name,
+  key,
+  row: { state: ClaimRowState.Claimed, attempt: name, fingerprint: '', leaseUntil: 0, guestAttempt: 0 },
+  expectedVersion: null,
+  expiresAtMilliseconds: 0
+})
+
+const start = (options = {}) => {
+  const state = createGroupCommitState({ now: 0, transactionsPerSecond: 10, ...options })
+  const step = (now: number, event: GroupCommitEvent): GroupCommitCommand[] => stepGroupCommit({ state, event, now })
+  return {
+    state,
+    offer: (now: number, write: ClaimWrite) => step(now, { kind: GroupCommitEventKind.Offer, write }),
+    withdraw: (now: number, writeId: string) => step(now, { kind: GroupCommitEventKind.Withdraw, writeId }),
+    wake: (now: number) => step(now, { kind: GroupCommitEventKind.Wake }),
+    done: (now: number, result: TransactionResult) => step(now, { kind: GroupCommitEventKind.TransactionDone, transaction: state.current?.number ?? 0, result })
+  }
+}
+const committed: TransactionResult = { kind: TransactionResultKind.Committed, versions: new Map(), tableTimeMilliseconds: 0 }
+const unanswered: TransactionResult = { kind: TransactionResultKind.Unanswered }
+const rateLimited: TransactionResult = { kind: TransactionResultKind.RateLimited }
+const keysOf = (commands: GroupCommitCommand[]): string[] | undefined => {
+  const sent = commands.find(command => command.kind === GroupCommitCommandKind.Transact)
+  return sent?.operations.map(({ key }) => key)
+}
+const wakeOf = (commands: GroupCommitCommand[]): number | undefined => commands.find(command => command.kind === GroupCommitCommandKind.WakeAt)?.at
+
+test('a claim starts at once while tokens last, then at the rate', () => {
+  const commit = start()
+  Array.from({ length: 5 }, (_, index) => `burst-${index}`).forEach(name => {
+    assert.deepEqual(keysOf(commit.offer(0, createWrite(name))), [name])
+    commit.done(0, committed)
+  })
+  assert.equal(wakeOf(commit.offer(0, createWrite('late'))), 100)
+  commit.offer(50, createWrite('company'))
+  assert.deepEqual(keysOf(commit.wake(100)), ['late', 'company'])
+})
+
+test('a settlement goes with the next claim, or alone after 250 ms', () => {
+  const commit = start()
+  assert.equal(wakeOf(commit.offer(0, createWrite('first', ClaimWriteKind.Settle))), 250)
+  assert.deepEqual(keysOf(commit.offer(10, createWrite('claim'))), ['claim', 'first'])
+  commit.done(20, committed)
+  commit.offer(30, createWrite('second', ClaimWriteKind.Settle))
+  assert.equal(keysOf(commit.wake(279)), undefined)
+  assert.deepEqual(keysOf(commit.wake(280)), ['second'])
+})
+
+test('a transaction without an answer is repeated unchanged, also after a refusal for the rate', () => {
+  const commit = start({ transactionsPerSecond: 1_000 })
+  commit.offer(0, createWrite('a'))
+  commit.done(1, committed)
+  assert.deepEqual(keysOf(commit.offer(2, createWrite('b'))), ['b'])
+  commit.offer(3, createWrite('c'))
+  const repeatAt = wakeOf(commit.done(300, unanswered)) ?? 0
+  assert.deepEqual(commit.withdraw(301, 'b').filter(({ kind }) => kind === GroupCommitCommandKind.Report), [])
+  assert.deepEqual(keysOf(commit.wake(repeatAt)), ['b'])
+  const spacedUntil = wakeOf(commit.done(repeatAt + 1, rateLimited)) ?? 0
+  assert.deepEqual(keysOf(commit.wake(spacedUntil)), ['b'])
+  // The first copy was applied: the row has our attempt, and the claim holds.
+  const row = { value: createWrite('b').row, version: 7 }
+  const [reported] = commit.done(spacedUntil + 1, { kind: TransactionResultKind.ConditionFailed, rows: new Map([['b', row]]), tableTimeMilliseconds: 0 })
+  assert.deepEqual(reported, { kind: GroupCommitCommandKind.Report, attempt: 'b', writeId: 'b', result: { kind: WriteResultKind.Held, version: 7 } })
+})
+
+test('refusals for the rate double the pause up to 1 s, and answers end it', () => {
+  const commit = start()
+  commit.offer(0, createWrite('a'))
+  let now = 0
+  const pauses = Array.from({ length: 6 }, () => {
+    const at = wakeOf(commit.done(now, rateLimited)) ?? now
+    const pause = at - now
+    now = at
+    assert.deepEqual(keysOf(commit.wake(now)), ['a'])
+    return pause
+  })
+  assert.deepEqual(pauses, [100, 200, 400, 800, 1_000, 1_000])
+})
+
+test('each write ends after at most five answered transactions, whichever rows keep changing', () => {
+  const random = createRandom(17)
+  const commit = start({ transactionsPerSecond: 1_000 })
+  const parts = new Map<string, number>()
+  let now = 0
+  let reported = 0
+  commit.offer(now, createWrite('first'))
+  Array.from({ length: 300 }, (_, index) => commit.offer(now, createWrite(`write-${index}`)))
+  const note = (commands: GroupCommitCommand[]): void => {
+    reported += commands.filter(({ kind }) => kind === GroupCommitCommandKind.Report).length
+    keysOf(commands)?.forEach(key => parts.set(key, (parts.get(key) ?? 0) + 1))
+  }
+  while (!isIdle(commit.state)) {
+    now += 2
+    const writes = commit.state.current?.writes ?? []
+    const failed = writes[pickIndex(random, writes.length)]?.write.key ?? ''
+    note(commit.done(now, { kind: TransactionResultKind.ConditionFailed, rows: new Map([[failed, null]]), tableTimeMilliseconds: 0 }))
+    note(commit.wake(now + 1))
+  }
+  assert.equal(reported, 301)
+  assert.ok(Math.max(...parts.values()) <= 5, `${Math.max(...parts.values())} transactions`)
+})
+
+test('claims are refused at the bound, settlements at twice the bound, and a key goes once per transaction', () => {
+  const commit = start({ maximumQueuedClaims: 2 })
+  commit.offer(0, createWrite('in flight'))
+  const refused = (write: ClaimWrite): boolean => commit.offer(1, write).some(command =>
+    command.kind === GroupCommitCommandKind.Report && command.result.kind === WriteResultKind.Refused)
+  assert.deepEqual(['a', 'b', 'c'].map(name => refused(createWrite(name, ClaimWriteKind.Claim, 'same'))), [false, false, true])
+  assert.deepEqual(['d', 'e', 'f'].map(name => refused(createWrite(name, ClaimWriteKind.Settle))), [false, false, true])
+  assert.deepEqual(keysOf(commit.done(2, committed)), ['same', 'd', 'e'])
+})
--- a/claims/request-claims/src/stepClaim.ts
+++ b/claims/request-claims/src/stepClaim.ts
@@ -31,9 +31,11 @@
 type EventHandlers = { [Kind in ClaimEventKind]: Handler<Extract<ClaimEvent, { kind: Kind }>> }
 
 const eventHandlers: EventHandlers = {
-  [ClaimEventKind.Start]: (state, _event, now) => now < state.options.sendBy
-    ? claim(state, now)
-    : [...answer(state, ResultCode.DeadlineExceededBeforeSend), ...end(state)],
+  [ClaimEventKind.Start]: (state, _event, now) => {
+    if (now >= state.options.sendBy) return [...answer(state, ResultCode.DeadlineExceededBeforeSend), ...end(state)]
+    // A repeated request probably has a row. A read costs less than a transaction that fails for it.
+    return (state.options.guestAttempt ?? 1) > 1 ? read(state, now) : claim(state, now)
+  },
   [ClaimEventKind.WriteDone]: (state, { writeId, result }, now) => {
     if (state.outstanding?.writeId !== writeId) return []
     const { kind } = state.outstanding
@@ -48,7 +50,7 @@
     if (state.phase !== ClaimPhase.Reading) return []
     // `storeAnswerBy` stays, so that the outage rule counts from the first read without an answer.
     state.phase = ClaimPhase.Polling
-    return [wakeAt(state, Math.min(now + shortestPollMilliseconds, state.storeAnswerBy))]
+    return [wakeAt(state, Math.min(now + nextPollMilliseconds(state), state.storeAnswerBy))]
   },
   [ClaimEventKind.Wake]: (state, _event, now) => wakePhases[state.phase]?.(state, now) ?? [],
   [ClaimEventKind.SendStarted]: (state, _event, now) => {
@@ -104,8 +106,7 @@
     if (result.kind === WriteResultKind.ConditionFailed) return state.held && stillWritable(state, result.row) ? repeat() : end(state)
     // Nothing was written. A claim ends here; the last write of a claim is repeated until it holds.
     if (kind === ClaimWriteKind.Claim) return end(state)
-    state.pollMilliseconds = Math.min(2 * state.pollMilliseconds, longestPollMilliseconds)
-    return [{ kind: ClaimCommandKind.WakeAt, at: now + state.pollMilliseconds }]
+    return [{ kind: ClaimCommandKind.WakeAt, at: now + nextPollMilliseconds(state) }]
   }
 }
 
@@ -128,9 +129,7 @@
   [ClaimRowState.Claimed]: (state, row, version, tableTime, now) => {
     if (row.leaseUntil < tableTime) return abandonOther(state, row, version, now)
     state.phase = ClaimPhase.Polling
-    const at = Math.min(now + state.pollMilliseconds, state.options.sendBy)
-    state.pollMilliseconds = Math.min(2 * state.pollMilliseconds, longestPollMilliseconds)
-    return [{ kind: ClaimCommandKind.WakeAt, at }]
+    return [wakeAt(state, now + nextPollMilliseconds(state))]
   },
   [ClaimRowState.Released]: (state, row, version, _tableTime, now) => {
     if (!mayClaimReleased(state, row.guestAttempt)) return [...answer(state, ResultCode.ClaimLost, Outcome.Unknown), ...end(state)]
@@ -269,6 +268,12 @@
   return wakeAt(state, state.storeAnswerBy)
 }
 
+function nextPollMilliseconds (state: ClaimState): number {
+  const milliseconds = state.pollMilliseconds
+  state.pollMilliseconds = Math.min(2 * milliseconds, longestPollMilliseconds)
+  return milliseconds
+}
+
 function wakeAt (state: ClaimState, at: number): ClaimCommand {
   return { kind: ClaimCommandKind.WakeAt, at: Math.min(at, state.options.sendBy) }
 }
