--- a/membership/entry-hosts/src/buildHeartbeat.ts
+++ b/membership/entry-hosts/src/buildHeartbeat.ts
@@ -1,18 +1,20 @@
 // Chooses what a heartbeat carries: first what the receiver must know, then recent changes, then other
 // members in turn. Without changes a heartbeat has few members, which keeps the bytes within budget.
 import { maximumEntriesPerHeartbeat, type Heartbeat, type MemberEntry } from './memberEntry.js'
-import { MemberStatus, type MemberRecord, type MembershipState } from './membershipState.js'
+import { findRingPosition, hashName, MemberStatus, noMembersLearnt, type MemberRecord, type MembershipState } from './membershipState.js'
 
 const maximumMembersCarried = maximumEntriesPerHeartbeat - 1
 /** Members sent in turn in each heartbeat even if nothing has changed. */
 export const regularMembers = 2
-/** A change is carried this many times the logarithm of the number of hosts, so that it reaches all. */
-const carryFactor = 2
+/** A change is carried by this many heartbeats more than the logarithm of the number of hosts. */
+const furtherCarries = 2
+/** When all hosts start at once they learn from each other for so many intervals. */
+const learningTicks = 60
 
 /** Has an entry carried by the next heartbeats. */
 export function carryChange (state: MembershipState, host: string): void {
   state.changes.delete(host)
-  state.changes.set(host, Math.ceil(carryFactor * Math.log2(state.ring.length + 2)))
+  state.changes.set(host, Math.ceil(Math.log2(state.ring.length + 2)) + furtherCarries)
 }
 
 /** Builds the heartbeat for one host. `first` names hosts whose entries come first. */
@@ -28,30 +30,52 @@
     .map(host => state.records.get(host))
     .filter((record): record is MemberRecord => record !== undefined)
     .map(reportRecord)
-  return { sender: { ...state.own }, members }
+  return { sender: { ...state.own }, members, membersAfter: state.learntUpTo }
+}
+
+/** Builds the answer to a host that is learning the members: those that follow the key in the ring. */
+export function buildMemberList (state: MembershipState, receiver: string, membersAfter: number): Heartbeat {
+  const position = findRingPosition(state.ring, membersAfter + 1, '')
+  const members = state.ring.slice(position, position + maximumMembersCarried + 1)
+    .filter(({ entry }) => entry.host !== receiver)
+    .slice(0, maximumMembersCarried)
+    .map(reportRecord)
+  return { sender: { ...state.own }, members, membersAfter: state.learntUpTo }
+}
+
+/** Notes how far the answer to a learning host went. A short answer was the last one, unless its sender
+ * is still learning itself; then this host begins again, as long as it is young. */
+export function noteMemberList (state: MembershipState, { members, membersAfter }: Heartbeat): void {
+  const senderIsLearning = membersAfter !== undefined && state.ticks < learningTicks
+  // Answers may overtake each other, so the key never goes back.
+  if (members.length === maximumMembersCarried) state.learntUpTo = Math.max(state.learntUpTo ?? noMembersLearnt, ...members.map(({ host }) => hashName(host)))
+  else state.learntUpTo = senderIsLearning ? noMembersLearnt : undefined
 }
 
 function reportRecord (record: MemberRecord): MemberEntry {
   return { ...record.entry, suspected: record.status !== MemberStatus.Live }
 }
 
-function takeChanges (state: MembershipState, count: number, receiver: string): string[] {
-  const taken: Array<[string, number]> = []
-  for (const change of state.changes) {
-    if (taken.length >= count) break
-    if (change[0] !== receiver) taken.push(change)
-  }
+/** Takes the changes that were carried least often so far, which are the most recent ones. */
+function takeChanges ({ changes }: MembershipState, count: number, receiver: string): string[] {
+  const taken = Array.from(changes)
+    .filter(([host]) => host !== receiver)
+    .sort(([, first], [, second]) => second - first)
+    .slice(0, count)
   taken.forEach(([host, remaining]) => {
-    // Deleting and setting moves the entry to the end, so that all changes get their turn.
-    state.changes.delete(host)
-    if (remaining > 1) state.changes.set(host, remaining - 1)
+    if (remaining > 1) changes.set(host, remaining - 1)
+    else changes.delete(host)
   })
   return taken.map(([host]) => host)
 }
 
+/** Takes members in turn, the last of them among the suspected ones if there are any. */
 function takeInTurn (state: MembershipState, count: number, receiver: string): string[] {
-  return Array.from({ length: Math.min(count, state.ring.length) }, () => {
-    state.roundRobin = (state.roundRobin + 1) % state.ring.length
-    return state.ring[state.roundRobin]?.entry.host ?? receiver
-  }).filter(host => host !== receiver)
+  const { ring, suspected } = state
+  const doubted = count > 0 && suspected.size > 0 ? Array.from(suspected)[state.ticks % suspected.size] : undefined
+  const inTurn = Array.from({ length: Math.min(doubted === undefined ? count : count - 1, ring.length) }, () => {
+    state.roundRobin = (state.roundRobin + 1) % ring.length
+    return ring[state.roundRobin]?.entry.host
+  })
+  return [...inTurn, doubted].filter((host): host is string => host !== undefined && host !== receiver)
 }
--- a/membership/entry-hosts/src/memberEntry.ts
+++ b/membership/entry-hosts/src/memberEntry.ts
@@ -22,6 +22,8 @@
 export interface Heartbeat {
   sender: MemberEntry
   members: MemberEntry[]
+  /** Set by a host that is still learning the members: it asks for those that follow this ring key. */
+  membersAfter?: number
 }
 
 /** Members in one heartbeat, the sender's own entry included. */
--- a/membership/entry-hosts/src/membershipState.ts
+++ b/membership/entry-hosts/src/membershipState.ts
@@ -54,10 +54,15 @@
   unheardHosts: ListedHost[]
   changeAllowance: SendAllowance
   bundleAllowance: SendAllowance
+  retryAllowance: SendAllowance
+  /** Members that did not answer once and are to be asked again at the next ticks. */
+  retries: Set<string>
   ticks: number
   tickedAt: number
   ignoreFailuresUntil: number
   roundRobin: number
+  /** Until this host knows all members, the ring key up to which it has learnt them. */
+  learntUpTo: number | undefined
   /** The other boot of this host that was last reported. */
   otherBootId: string
 }
@@ -76,8 +81,8 @@
 /** A failed exchange is reported after at most this time. */
 export const exchangeTimeoutMilliseconds = 500
 /** The time in which a suspected host can object before it is left out of addresses. The ring finds a
- * failed host within 1 s, two exchanges time out after 1 s together, and 0.2 s are for spreading it. */
-export const objectionMilliseconds = 800
+ * failed host within 1 s, two exchanges time out after 1 s together, and 0.4 s are for spreading it. */
+export const objectionMilliseconds = 600
 export const dropMilliseconds = 30_000
 /** Longer than the hour-long partitions that are to be expected. */
 export const forgetMilliseconds = 7_200_000
@@ -85,7 +90,10 @@
 /** Six further heartbeats at once, then one a second. */
 export const allowanceCapacity = 6
 export const allowancePerMillisecond = 0.001
+export const retryCapacity = 3
 export const spreadPeers = 3
+/** Less than every ring key. */
+export const noMembersLearnt = -1
 
 /** Creates the state of a host that knows no other host. */
 export function createMembershipState (options: CreateMembershipStateOptions): MembershipState {
@@ -100,10 +108,13 @@
     unheardHosts: [],
     changeAllowance: { tokens: allowanceCapacity, filledAt: now },
     bundleAllowance: { tokens: spreadPeers, filledAt: now },
+    retryAllowance: { tokens: retryCapacity, filledAt: now },
+    retries: new Set(),
     ticks: 0,
     tickedAt: now,
     ignoreFailuresUntil: now,
     roundRobin: 0,
+    learntUpTo: noMembersLearnt,
     otherBootId: ''
   }
 }
--- a/membership/entry-hosts/src/mergeEntry.ts
+++ b/membership/entry-hosts/src/mergeEntry.ts
@@ -7,6 +7,8 @@
 /** What a merged entry calls for. */
 export enum MergeEffect {
   None = 'none',
+  /** The reporting host knows less than this one and is to be told. */
+  Correct = 'correct',
   /** To be carried by the next heartbeats. */
   Carry = 'carry',
   /** To be passed on at once. */
@@ -20,7 +22,9 @@
   const order = compareEntries(entry, record.entry)
   if (order > 0) return replaceEntry(state, record, entry, now)
   const firstSuspicion = order === 0 && entry.suspected && record.status === MemberStatus.Live
-  return firstSuspicion ? suspectMember(state, record, now) : MergeEffect.None
+  if (firstSuspicion) return suspectMember(state, record, now)
+  const outdated = order < 0 || (!entry.suspected && record.status !== MemberStatus.Live)
+  return outdated ? MergeEffect.Correct : MergeEffect.None
 }
 
 /** Suspects a live member. */
--- a/membership/entry-hosts/src/stepMembership.ts
+++ b/membership/entry-hosts/src/stepMembership.ts
@@ -5,12 +5,12 @@
 // host learns of it from the next host that it talks to and objects by raising its counter; if it
 // does not object in time it is left out of addresses. All sends outside the interval draw on token buckets.
 import { pickIndex, type Random } from '@siskinbeam/random/createRandom'
-import { buildHeartbeat, carryChange } from './buildHeartbeat.js'
+import { buildHeartbeat, buildMemberList, carryChange, noteMemberList } from './buildHeartbeat.js'
 import { chooseRandomPeers } from './listEntryHosts.js'
 import type { Heartbeat, MemberEntry } from './memberEntry.js'
 import {
   allowanceCapacity, dropMilliseconds, findRingPosition, forgetMember, forgetMilliseconds, hashName, heartbeatIntervalMilliseconds,
-  MemberStatus, setMemberStatus, spreadPeers, takeAllowance, type ListedHost, type MemberRecord, type MembershipState
+  MemberStatus, retryCapacity, setMemberStatus, spreadPeers, takeAllowance, type ListedHost, type MemberRecord, type MembershipState
 } from './membershipState.js'
 import { mergeEntry, MergeEffect, suspectMember } from './mergeEntry.js'
 
@@ -112,7 +112,7 @@
   state.ticks += 1
   expireOldest(state, state.suspected, now - dropMilliseconds, record => { setMemberStatus(state, record, MemberStatus.Dropped, now) })
   expireOldest(state, state.dropped, now - forgetMilliseconds, record => { forgetMember(state, record.entry.host) })
-  const peer = chooseTickPeer(state, random)
+  const peer = takeRetry(state) ?? chooseTickPeer(state, random)
   return peer === undefined ? [] : [sendTo(state, peer)]
 }
 
@@ -125,16 +125,15 @@
     .map(entry => ({ host: entry.host, effect: mergeEntry(state, entry, now) }))
   const record = state.records.get(sender.host)
   if (record !== undefined && record.entry.bootId === sender.bootId) record.failures = 0
-  effects.filter(({ effect }) => effect !== MergeEffect.None).forEach(({ host }) => { carryChange(state, host) })
+  effects.filter(({ effect }) => effect === MergeEffect.Carry || effect === MergeEffect.Spread).forEach(({ host }) => { carryChange(state, host) })
 
+  const corrections = effects.filter(({ effect }) => effect === MergeEffect.Correct).map(({ host }) => host)
   const urgent = effects.filter(({ effect }) => effect === MergeEffect.Spread).map(({ host }) => host)
   const objects = own.some(({ objects }) => objects)
-  const answer: MembershipCommand[] = event.answerRequired
-    ? [{ kind: MembershipCommandKind.AnswerHeartbeat, heartbeat: buildHeartbeat(state, sender.host, urgent) }]
-    : []
+  const answer = event.answerRequired ? [answerTo(state, event.heartbeat, corrections)] : learnMore(state, event.heartbeat, now, random)
   // An objection in the answer reaches the sender of a request; an answer's sender needs a heartbeat.
   const informant = objects && !event.answerRequired ? [sender] : []
-  const sends = urgent.length > 0 || objects ? spread(state, urgent, now, random, informant) : []
+  const sends = urgent.length > 0 || objects ? spread(state, urgent, now, random, spreadPeers, informant) : []
   return [...answer, ...sends, ...own.flatMap(({ commands }) => commands)]
 }
 
@@ -144,13 +143,32 @@
   const othersJudge = state.ring.length >= judgingPeers
   if (now < state.ignoreFailuresUntil || (othersJudge && now < record.ignoreFailuresUntil)) return []
   record.failures += 1
-  if (record.failures < failuresBeforeSuspicion && takeAllowance(state.changeAllowance, allowanceCapacity, now)) return [sendTo(state, record.entry)]
+  if (record.failures < failuresBeforeSuspicion) return retryExchange(state, record, now)
   record.ignoreFailuresUntil = now + ignoreFailuresMilliseconds
   suspectMember(state, record, now)
   carryChange(state, peer.host)
   return spread(state, [peer.host], now, random)
 }
 
+/** Repeats an exchange at once or, without an allowance, at the next tick. */
+function retryExchange (state: MembershipState, { entry }: MemberRecord, now: number): MembershipCommand[] {
+  if (takeAllowance(state.retryAllowance, retryCapacity, now)) return [sendTo(state, entry)]
+  state.retries.add(entry.host)
+  return []
+}
+
+function answerTo (state: MembershipState, { sender, membersAfter }: Heartbeat, first: readonly string[]): MembershipCommand {
+  const heartbeat = membersAfter === undefined ? buildHeartbeat(state, sender.host, first) : buildMemberList(state, sender.host, membersAfter)
+  return { kind: MembershipCommandKind.AnswerHeartbeat, heartbeat }
+}
+
+/** Asks a random member for further ones until all are known. */
+function learnMore (state: MembershipState, answer: Heartbeat, now: number, random: Random): MembershipCommand[] {
+  if (state.learntUpTo === undefined) return []
+  noteMemberList(state, answer)
+  return state.learntUpTo === undefined ? [] : spread(state, [], now, random, 1)
+}
+
 /** Merges a report about this host. */
 function mergeOwn (state: MembershipState, entry: MemberEntry): Array<{ objects: boolean, commands: MembershipCommand[] }> {
   const { own } = state
@@ -167,8 +185,8 @@
 }
 
 /** Passes changes on to random peers at once, as far as the allowance goes. */
-function spread (state: MembershipState, hosts: readonly string[], now: number, random: Random, informants: readonly MemberEntry[] = []): MembershipCommand[] {
-  return [...informants, ...chooseRandomPeers(state, spreadPeers, random)]
+function spread (state: MembershipState, hosts: readonly string[], now: number, random: Random, count = spreadPeers, informants: readonly MemberEntry[] = []): MembershipCommand[] {
+  return [...informants, ...chooseRandomPeers(state, count, random)]
     .filter(({ host }) => !hosts.includes(host))
     .filter(() => takeAllowance(state.changeAllowance, allowanceCapacity, now))
     .map(peer => sendTo(state, peer, hosts))
@@ -178,6 +196,14 @@
   return { kind: MembershipCommandKind.SendHeartbeat, peer: { host, peerAddress, bootId, dataCentre }, heartbeat: buildHeartbeat(state, host, first) }
 }
 
+function takeRetry ({ retries, records }: MembershipState): MemberEntry | undefined {
+  const [host] = retries
+  if (host === undefined) return undefined
+  retries.delete(host)
+  const record = records.get(host)
+  return record?.status === MemberStatus.Live && record.failures > 0 ? record.entry : undefined
+}
+
 function chooseTickPeer (state: MembershipState, random: Random): HeartbeatPeer | undefined {
   const nobodyLive = state.ring.length === 0
   const unheard = state.ticks % unheardTicks === unheardTicks - 1 || nobodyLive ? chooseUnheard(state, random) : undefined
