--- /dev/null
+++ b/bench/bench/src/cluster/rollOutBundle.ts
@@ -0,0 +1,60 @@
+// The operators of a run: an author and an approver with keys made for the run, who sign bundles and
+// move the head of the table to them.
+import { createObjectClient } from '@siskinbeam/clients/createObjectClient'
+import { createTableClient } from '@siskinbeam/clients/createTableClient'
+import { formatCodedError, type Result } from '@siskinbeam/result-codes/codedError'
+import { headKey, nameBodyKey } from '@siskinbeam/rollout/bundleStores'
+import type { BundleInput } from '@siskinbeam/schema/bundle'
+import { signBundle } from '@siskinbeam/signatures/signBundle'
+import { createSignedBundle, formatSignedBundle, SignerRole } from '@siskinbeam/signatures/signedBundle'
+import { createSigningKeyPair } from '@siskinbeam/signatures/signingKeys'
+
+/** Operators of a run. */
+export interface Operators {
+  trustedKeys: string[]
+  /** Signs a bundle and puts it in force; gives its digest. Version and previous digest are filled in. */
+  rollOut: (bundle: BundleInput) => Promise<string>
+  head: () => { version: number, digest: string | null }
+  close: () => void
+}
+
+export interface CreateOperatorsOptions {
+  tableAddress: string
+  objectStoreAddress: string
+}
+
+/** Creates operators with new keys. */
+export function createOperators ({ tableAddress, objectStoreAddress }: CreateOperatorsOptions): Operators {
+  const [author, approver] = [createSigningKeyPair(), createSigningKeyPair()]
+  const table = createTableClient({ address: tableAddress })
+  const objects = createObjectClient({ address: objectStoreAddress })
+  let head: { version: number, digest: string | null } = { version: 0, digest: null }
+  let revision: number | null = null
+
+  return {
+    trustedKeys: [author.publicKey, approver.publicKey],
+    head: () => head,
+    rollOut: async input => {
+      const body = { ...input, version: head.version + 1, previousDigest: head.digest }
+      const created = takeValue(createSignedBundle(body))
+      const signed = takeValue(signBundle({ document: created, role: SignerRole.Author, privateKey: author.privateKey }))
+      const approved = takeValue(signBundle({ document: signed, role: SignerRole.Approver, privateKey: approver.privateKey }))
+      takeValue(await objects.put({ key: nameBodyKey(approved.digest), bytes: formatSignedBundle(approved), ifAbsent: false }))
+      const moved = takeValue(await table.transact([{
+        kind: 'put', key: headKey, value: { version: body.version, digest: approved.digest }, expectedVersion: revision, expiresAtMilliseconds: null
+      }]))
+      revision = moved.versions.get(headKey) ?? null
+      head = { version: body.version, digest: approved.digest }
+      return approved.digest
+    },
+    close: () => {
+      table.close()
+      objects.close()
+    }
+  }
+}
+
+function takeValue<Value> (result: Result<Value>): Value {
+  if (result.ok) return result.value
+  throw new Error(formatCodedError(result.error))
+}
--- /dev/null
+++ b/bench/bench/src/cluster/startCluster.ts
@@ -0,0 +1,192 @@
+// Starts all processes of a run: the stand-ins, the servers and the entry hosts, with a signed bundle
+// rolled out. Every process is ended by its id.
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { randomBytes } from 'node:crypto'
+import type { Policy } from '@siskinbeam/schema/bundle'
+import { makeWorkloadBundle, type Workload } from '../workload.js'
+import { callControl } from './callControl.js'
+import { pickNetwork, planCluster, planEntryHost, type ClusterPlan, type PlannedEntryHost, type PlannedServer } from './planCluster.js'
+import { createOperators, type Operators } from './rollOutBundle.js'
+import { spawnProcess, type SpawnedProcess } from './spawnProcess.js'
+
+/** A server process of a run. `process` changes with a restart. */
+export interface RunningServerProcess {
+  planned: PlannedServer
+  process: SpawnedProcess
+}
+
+/** An entry host process of a run. */
+export interface RunningEntryProcess {
+  planned: PlannedEntryHost
+  process: SpawnedProcess
+}
+
+export interface StartClusterOptions {
+  workload: Workload
+  policy: Policy
+  entryHosts: number
+  seed: number
+  probesPerRequest?: number
+  /** Seconds for which a leaving entry host still serves. */
+  leavingSeconds?: number
+  /** Changes the bundle before it is signed. */
+  changeBundle?: (bundle: ReturnType<typeof makeWorkloadBundle>) => void
+}
+
+/** A running system. */
+export interface Cluster {
+  workload: Workload
+  plan: ClusterPlan
+  servers: RunningServerProcess[]
+  entryHosts: RunningEntryProcess[]
+  operators: Operators
+  operatorKey: string
+  directory: string
+  runLog: string
+  policy: Policy
+  restartServer: (server: RunningServerProcess) => Promise<void>
+  restartDeadServers: () => Promise<void>
+  listServer: (server: RunningServerProcess, state: 'live' | 'leaving') => Promise<void>
+  /** Starts one more entry host in place of one that was stopped. */
+  startEntryHost: (position: number) => Promise<RunningEntryProcess>
+  stop: () => Promise<void>
+}
+
+const readyPollMilliseconds = 50
+const readyMilliseconds = 20_000
+const batchSize = 12
+
+/** Starts the processes and waits until the bundle is in force on every entry host. */
+export async function startCluster (options: StartClusterOptions): Promise<Cluster> {
+  const { workload, policy } = options
+  const directory = mkdtempSync(join(tmpdir(), 'siskinbeam-'))
+  const runLog = join(directory, 'runs.jsonl')
+  const plan = planCluster(workload, pickNetwork(process.pid), options.entryHosts)
+  const operatorKey = randomBytes(16).toString('hex')
+  const peerKey = randomBytes(16).toString('hex')
+  const logOf = (name: string): string => join(directory, `${name}.log`)
+  const operators = createOperators({ tableAddress: plan.tableAddress, objectStoreAddress: plan.objectStoreAddress })
+  const processes: SpawnedProcess[] = []
+  const start = async (name: string, script: string, flags: Record<string, string | number>, environment: Record<string, string> = {}): Promise<SpawnedProcess> => {
+    const started = await spawnProcess({
+      name,
+      script,
+      arguments: Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]),
+      environment,
+      logFile: logOf(name)
+    })
+    processes.push(started)
+    return started
+  }
+
+  const startServer = (planned: PlannedServer): Promise<SpawnedProcess> => start(planned.name, '@siskinbeam/stand-in-server/runServer', {
+    name: planned.name,
+    service: planned.service.name,
+    address: planned.address,
+    'control-address': planned.controlAddress,
+    slots: planned.service.slots,
+    'queue-length': planned.service.queueLength,
+    'service-milliseconds': planned.service.serviceMilliseconds,
+    'service-sigma': planned.service.serviceSigma,
+    'noise-factor': workload.noiseFactor,
+    seed: options.seed * 1_000 + planned.position,
+    'run-log': runLog,
+    'network-delays': planned.networkDelays
+  })
+  const startEntry = async (planned: PlannedEntryHost): Promise<RunningEntryProcess> => ({
+    planned,
+    process: await start(planned.name, '@siskinbeam/entry-host/runEntryHost', {
+      host: planned.name,
+      'data-centre': planned.dataCentre,
+      'guest-address': planned.guestAddress,
+      'peer-address': planned.peerAddress,
+      'metrics-address': planned.metricsAddress,
+      'outgoing-address': planned.ip,
+      'table-address': plan.tableAddress,
+      'object-store-address': plan.objectStoreAddress,
+      'host-list-address': plan.hostListAddress,
+      'leaving-seconds': options.leavingSeconds ?? 6,
+      'drain-seconds': 5,
+      seed: options.seed + planned.ip.length
+    }, {
+      SISKINBEAM_PEER_KEY: peerKey,
+      SISKINBEAM_OPERATOR_KEY: operatorKey,
+      SISKINBEAM_TRUSTED_KEYS: operators.trustedKeys.join(',')
+    })
+  })
+
+  await Promise.all([
+    start('table', '@siskinbeam/stand-in-platform/runTableService', { address: plan.tableAddress, 'control-address': plan.tableControl, 'writes-per-second': 400, 'reads-per-second': 2_000 }),
+    start('objects', '@siskinbeam/stand-in-platform/runObjectStore', { address: plan.objectStoreAddress, 'control-address': plan.objectStoreControl }),
+    start('hosts', '@siskinbeam/stand-in-platform/runHostList', { address: plan.hostListAddress, 'control-address': plan.hostListControl, 'lag-milliseconds': 1_000 })
+  ])
+  const bundle = makeWorkloadBundle({
+    workload,
+    policy,
+    version: 1,
+    previousDigest: null,
+    addressOf: (service, position) => plan.servers.find(server => server.service.name === service && server.position === position)?.address ?? '',
+    ...(options.probesPerRequest === undefined ? {} : { probesPerRequest: options.probesPerRequest })
+  })
+  options.changeBundle?.(bundle)
+  await operators.rollOut(bundle)
+  const register = (hosts: Array<{ name: string, role: string, address: string, dataCentre: string, state: string }>): Promise<unknown> =>
+    callControl(plan.hostListControl, 'POST', '/hosts', hosts)
+  await register([
+    ...plan.entryHosts.map(({ name, peerAddress, dataCentre }) => ({ name, role: 'entry', address: peerAddress, dataCentre, state: 'live' })),
+    ...plan.servers.map(({ name, address, dataCentre }) => ({ name, role: 'server', address, dataCentre, state: 'live' }))
+  ])
+  const servers = (await startInBatches(plan.servers, startServer)).map((process, position): RunningServerProcess => ({ planned: plan.servers[position] as PlannedServer, process }))
+  const entryHosts = await startInBatches(plan.entryHosts, startEntry)
+  await Promise.all(entryHosts.map(({ planned }) => waitUntilReady(planned.guestAddress)))
+
+  const cluster: Cluster = {
+    workload,
+    plan,
+    servers,
+    entryHosts,
+    operators,
+    operatorKey,
+    directory,
+    runLog,
+    policy,
+    restartServer: async server => {
+      if (!server.process.running()) server.process = await startServer(server.planned)
+    },
+    restartDeadServers: async () => { await Promise.all(servers.map(server => cluster.restartServer(server))) },
+    listServer: async ({ planned: { name, address, dataCentre } }, state) => { await register([{ name, role: 'server', address, dataCentre, state }]) },
+    startEntryHost: async position => {
+      const planned = planEntryHost(workload, pickNetwork(process.pid), position)
+      await register([{ name: planned.name, role: 'entry', address: planned.peerAddress, dataCentre: planned.dataCentre, state: 'live' }])
+      const started = await startEntry(planned)
+      entryHosts.push(started)
+      await waitUntilReady(planned.guestAddress)
+      return started
+    },
+    stop: async () => {
+      operators.close()
+      processes.forEach(({ kill }) => kill('SIGCONT'))
+      processes.forEach(({ kill }) => kill('SIGKILL'))
+      await Promise.all(processes.map(({ exited }) => exited))
+      if (process.env.SISKINBEAM_KEEP_LOGS === undefined) rmSync(directory, { recursive: true, force: true })
+    }
+  }
+  return cluster
+}
+
+// Starting all at once would make the first heartbeats and probes compete with the start of node.
+async function startInBatches<Planned, Started> (planned: Planned[], startOne: (one: Planned) => Promise<Started>): Promise<Started[]> {
+  const first = await Promise.all(planned.slice(0, batchSize).map(startOne))
+  return planned.length <= batchSize ? first : [...first, ...await startInBatches(planned.slice(batchSize), startOne)]
+}
+
+/** Waits until an entry host says that it serves with a bundle. */
+export async function waitUntilReady (guestAddress: string, until = Date.now() + readyMilliseconds): Promise<void> {
+  const answer = await callControl(guestAddress, 'GET', '/.siskinbeam/ready') as { ready?: boolean } | undefined
+  if (answer?.ready === true) return
+  if (Date.now() > until) throw new Error(`entry host ${guestAddress} is not ready after ${readyMilliseconds} ms`)
+  await new Promise(resolve => setTimeout(resolve, readyPollMilliseconds))
+  await waitUntilReady(guestAddress, until)
+}
--- /dev/null
+++ b/bench/bench/src/runExperiment.ts
@@ -0,0 +1,93 @@
+// One run: starts the system, drives load with faults, and computes the record.
+import { createRandom } from '@siskinbeam/random/createRandom'
+import type { Policy } from '@siskinbeam/schema/bundle'
+import { readMetrics, readProcessorMilliseconds, readResidentMegabytes } from './cluster/observeProcesses.js'
+import { startCluster, type Cluster } from './cluster/startCluster.js'
+import { FaultName } from './faults/faultName.js'
+import { injectFaults, scheduleFaults } from './faults/injectFaults.js'
+import { createGuests } from './load/createGuests.js'
+import { driveLoad, type LoadResult } from './load/driveLoad.js'
+import type { GuestRequest } from './load/invocation.js'
+import type { RunRecord } from './record.js'
+import { summarizeRun } from './summarizeRun.js'
+import type { Workload } from './workload.js'
+
+export interface RunExperimentOptions {
+  workload: Workload
+  policy: Policy
+  seed: number
+  seconds: number
+  load: number
+  fault: FaultName
+  entryHosts: number
+  probesPerRequest?: number
+}
+
+const warmupSeconds = 3
+const idleMilliseconds = 3_000
+const directShare = 0.05
+
+/** Processor time and memory of the entry hosts over a time. */
+export interface ProcessSample {
+  busiestPercent: number
+  residentMegabytes: number
+}
+
+/** Runs one experiment on a system of its own. */
+export async function runExperiment (options: RunExperimentOptions): Promise<RunRecord> {
+  const { workload, policy, seed, seconds, load, fault } = options
+  const cluster = await startCluster({
+    workload,
+    policy,
+    entryHosts: options.entryHosts,
+    seed,
+    ...(options.probesPerRequest === undefined ? {} : { probesPerRequest: options.probesPerRequest })
+  })
+  try {
+    const idle = await sampleProcesses(cluster, () => new Promise(resolve => setTimeout(resolve, idleMilliseconds)))
+    const guests = createGuests({ bootstrapAddresses: cluster.plan.entryHosts.map(({ guestAddress }) => guestAddress), seed, runId: `${policy}-${seed}` })
+    const serverAddresses = (service: string): string[] => cluster.plan.servers.filter(server => server.service.name === service).map(({ address }) => address)
+    const drive = (forSeconds: number, loadAt: (at: number) => number, extraRequests: () => GuestRequest[]): Promise<LoadResult> => driveLoad({
+      workload, guests, seed, seconds: forSeconds, loadAt, extraRequests, directShare, serverAddresses
+    })
+    await drive(warmupSeconds, () => Math.min(load, 0.5), () => [])
+    const random = createRandom(seed * 7 + 1)
+    let loadFactor = 1
+    const extra: GuestRequest[] = []
+    const before = await readAllMetrics(cluster)
+    let result: LoadResult = { requests: [], direct: [] }
+    const loaded = await sampleProcesses(cluster, async () => {
+      const faults = injectFaults(scheduleFaults(fault, seconds, random), {
+        cluster,
+        random,
+        submit: request => extra.push(request),
+        setLoadFactor: factor => { loadFactor = factor }
+      })
+      result = await drive(seconds, () => load * loadFactor, () => extra.splice(0))
+      await faults
+    })
+    guests.close()
+    return await summarizeRun({ options, cluster, result, idle, loaded, before })
+  } finally {
+    await cluster.stop()
+  }
+}
+
+/** Metrics of all entry hosts, summed by name. */
+export async function readAllMetrics ({ entryHosts, operatorKey }: Cluster): Promise<Map<string, number>> {
+  const all = await Promise.all(entryHosts.map(({ planned }) => readMetrics(planned.metricsAddress, operatorKey)))
+  return all.reduce((sums, metrics) => {
+    metrics.forEach((value, name) => sums.set(name, (sums.get(name) ?? 0) + value))
+    return sums
+  }, new Map<string, number>())
+}
+
+async function sampleProcesses ({ entryHosts }: Cluster, act: () => Promise<void>): Promise<ProcessSample> {
+  const processIds = entryHosts.map(({ process }) => process.child.pid ?? 0)
+  const before = processIds.map(readProcessorMilliseconds)
+  const startedAt = performance.now()
+  await act()
+  const elapsed = performance.now() - startedAt
+  const shares = processIds.map((processId, position) => (readProcessorMilliseconds(processId) - (before[position] ?? 0)) / elapsed * 100)
+  return { busiestPercent: Math.max(...shares), residentMegabytes: Math.max(...processIds.map(readResidentMegabytes)) }
+}
--- a/stand-ins/platform/src/runStandIn.ts
+++ b/stand-ins/platform/src/runStandIn.ts
@@ -34,6 +34,7 @@
     return
   }
   const running = await serve(settings.value.values)
+  process.stdout.write(`ready address=${running.address} control=${running.controlAddress}\n`)
   logger.info('listening', { address: running.address, controlAddress: running.controlAddress })
   const stop = (): void => { running.close().then(() => logger.info('stopped'), error => logger.error('stop failed', { reason: String(error) })) }
   process.once('SIGTERM', stop)
