Carry the age of a suspicion, so that all hosts leave a failed host out at the same time

Ruled out: a shorter time to object alone, which adds false suspicions, and a shorter exchange timeout, which a cold session between regions needs.

--- a/membership/entry-hosts/src/buildHeartbeat.ts
+++ b/membership/entry-hosts/src/buildHeartbeat.ts
@@ -1,7 +1,7 @@
 // Chooses what a heartbeat carries: first what the receiver must know, then recent changes, then other
 // members in turn. Without changes a heartbeat has few members, which keeps the bytes within budget.
 import { maximumEntriesPerHeartbeat, type Heartbeat, type MemberEntry } from './memberEntry.js'
-import { findRingPosition, hashName, MemberStatus, noMembersLearnt, type MemberRecord, type MembershipState } from './membershipState.js'
+import { findRingPosition, hashName, highestRingKey, lowestRingKey, MemberStatus, type MemberRecord, type MembershipState } from './membershipState.js'
 
 const maximumMembersCarried = maximumEntriesPerHeartbeat - 1
 /** Members sent in turn in each heartbeat even if nothing has changed. */
@@ -18,7 +18,7 @@
 }
 
 /** Builds the heartbeat for one host. `first` names hosts whose entries come first. */
-export function buildHeartbeat (state: MembershipState, receiver: string, first: readonly string[] = []): Heartbeat {
+export function buildHeartbeat (state: MembershipState, receiver: string, now: number, first: readonly string[] = []): Heartbeat {
   const hosts = new Set<string>()
   // The receiver must learn that it is suspected, since only it can object.
   if (state.suspected.has(receiver) || state.dropped.has(receiver)) hosts.add(receiver)
@@ -29,31 +29,32 @@
     .slice(0, maximumMembersCarried)
     .map(host => state.records.get(host))
     .filter((record): record is MemberRecord => record !== undefined)
-    .map(reportRecord)
-  return { sender: { ...state.own }, members, membersAfter: state.learntUpTo }
+    .map(record => reportRecord(record, now))
+  return { sender: { ...state.own }, members, membersFrom: state.learnFrom }
 }
 
-/** Builds the answer to a host that is learning the members: those that follow the key in the ring. */
-export function buildMemberList (state: MembershipState, receiver: string, membersAfter: number): Heartbeat {
-  const position = findRingPosition(state.ring, membersAfter + 1, '')
+/** Builds the answer to a host that is learning the members: those from the key on, in ring order. */
+export function buildMemberList (state: MembershipState, receiver: string, now: number, membersFrom: number): Heartbeat {
+  const position = findRingPosition(state.ring, membersFrom, '')
   const members = state.ring.slice(position, position + maximumMembersCarried + 1)
     .filter(({ entry }) => entry.host !== receiver)
     .slice(0, maximumMembersCarried)
-    .map(reportRecord)
-  return { sender: { ...state.own }, members, membersAfter: state.learntUpTo }
+    .map(record => reportRecord(record, now))
+  return { sender: { ...state.own }, members, membersFrom: state.learnFrom }
 }
 
 /** Notes how far the answer to a learning host went. A short answer was the last one, unless its sender
  * is still learning itself; then this host begins again, as long as it is young. */
-export function noteMemberList (state: MembershipState, { members, membersAfter }: Heartbeat): void {
-  const senderIsLearning = membersAfter !== undefined && state.ticks < learningTicks
+export function noteMemberList (state: MembershipState, { members, membersFrom }: Heartbeat): void {
+  const senderIsLearning = membersFrom !== undefined && state.ticks < learningTicks
   // Answers may overtake each other, so the key never goes back.
-  if (members.length === maximumMembersCarried) state.learntUpTo = Math.max(state.learntUpTo ?? noMembersLearnt, ...members.map(({ host }) => hashName(host)))
-  else state.learntUpTo = senderIsLearning ? noMembersLearnt : undefined
+  if (members.length === maximumMembersCarried) state.learnFrom = Math.max(state.learnFrom ?? lowestRingKey, ...members.map(({ host }) => Math.min(hashName(host) + 1, highestRingKey)))
+  else state.learnFrom = senderIsLearning ? lowestRingKey : undefined
 }
 
-function reportRecord (record: MemberRecord): MemberEntry {
-  return { ...record.entry, suspected: record.status !== MemberStatus.Live }
+function reportRecord ({ entry, status, suspectedAt }: MemberRecord, now: number): MemberEntry {
+  if (status === MemberStatus.Live) return { ...entry }
+  return { ...entry, suspected: true, suspectedMilliseconds: now - suspectedAt }
 }
 
 /** Takes the changes that were carried least often so far, which are the most recent ones. */
--- a/membership/entry-hosts/src/listEntryHosts.ts
+++ b/membership/entry-hosts/src/listEntryHosts.ts
@@ -30,5 +30,5 @@
 function listObjecting ({ suspected, records }: MembershipState, now: number): MemberRecord[] {
   return Array.from(suspected)
     .map(host => records.get(host) as MemberRecord)
-    .filter(({ changedAt }) => now - changedAt < objectionMilliseconds)
+    .filter(({ suspectedAt }) => now - suspectedAt < objectionMilliseconds)
 }
--- a/membership/entry-hosts/src/memberEntry.ts
+++ b/membership/entry-hosts/src/memberEntry.ts
@@ -16,14 +16,16 @@
   bundleVersion: number
   /** Whether the host that reports the entry suspects it. */
   suspected: boolean
+  /** For how long it has been suspected, so that all hosts leave it out of addresses at the same time. */
+  suspectedMilliseconds?: number
 }
 
 /** The membership part of an exchange. The sender's own entry is not among the members. */
 export interface Heartbeat {
   sender: MemberEntry
   members: MemberEntry[]
-  /** Set by a host that is still learning the members: it asks for those that follow this ring key. */
-  membersAfter?: number
+  /** Set by a host that is still learning the members: it asks for those from this ring key on. */
+  membersFrom?: number
 }
 
 /** Members in one heartbeat, the sender's own entry included. */
--- a/membership/entry-hosts/src/membershipState.ts
+++ b/membership/entry-hosts/src/membershipState.ts
@@ -18,8 +18,10 @@
   entry: MemberEntry
   status: MemberStatus
   ringKey: number
-  /** When the member was suspected or dropped. */
+  /** When the status last changed here. */
   changedAt: number
+  /** When the first host suspected it, by this host's time. */
+  suspectedAt: number
   failures: number
   /** Until then failures of this host's own exchanges with the member are not counted. */
   ignoreFailuresUntil: number
@@ -61,8 +63,8 @@
   tickedAt: number
   ignoreFailuresUntil: number
   roundRobin: number
-  /** Until this host knows all members, the ring key up to which it has learnt them. */
-  learntUpTo: number | undefined
+  /** Until this host knows all members, the ring key from which on it has to learn them. */
+  learnFrom: number | undefined
   /** The other boot of this host that was last reported. */
   otherBootId: string
 }
@@ -92,8 +94,8 @@
 export const allowancePerMillisecond = 0.001
 export const retryCapacity = 3
 export const spreadPeers = 3
-/** Less than every ring key. */
-export const noMembersLearnt = -1
+export const lowestRingKey = 0
+export const highestRingKey = 0xffff_ffff
 
 /** Creates the state of a host that knows no other host. */
 export function createMembershipState (options: CreateMembershipStateOptions): MembershipState {
@@ -114,7 +116,7 @@
     tickedAt: now,
     ignoreFailuresUntil: now,
     roundRobin: 0,
-    learntUpTo: noMembersLearnt,
+    learnFrom: lowestRingKey,
     otherBootId: ''
   }
 }
@@ -144,7 +146,7 @@
     if (oldest === undefined) return undefined
     forgetMember(state, oldest)
   }
-  const record: MemberRecord = { entry, status: MemberStatus.Live, ringKey: hashName(entry.host), changedAt: now, failures: 0, ignoreFailuresUntil: now }
+  const record: MemberRecord = { entry, status: MemberStatus.Live, ringKey: hashName(entry.host), changedAt: now, suspectedAt: now, failures: 0, ignoreFailuresUntil: now }
   state.records.set(entry.host, record)
   insertIntoRing(state, record)
   return record
--- a/membership/entry-hosts/src/mergeEntry.ts
+++ b/membership/entry-hosts/src/mergeEntry.ts
@@ -2,7 +2,7 @@
 // of an earlier one; within a boot the greater counter wins, and at equal counters a suspicion wins,
 // since only the host itself can lift it, by raising its counter.
 import { compareEntries, type MemberEntry } from './memberEntry.js'
-import { addMember, MemberStatus, setMemberStatus, type MemberRecord, type MembershipState } from './membershipState.js'
+import { addMember, dropMilliseconds, MemberStatus, setMemberStatus, type MemberRecord, type MembershipState } from './membershipState.js'
 
 /** What a merged entry calls for. */
 export enum MergeEffect {
@@ -22,13 +22,14 @@
   const order = compareEntries(entry, record.entry)
   if (order > 0) return replaceEntry(state, record, entry, now)
   const firstSuspicion = order === 0 && entry.suspected && record.status === MemberStatus.Live
-  if (firstSuspicion) return suspectMember(state, record, now)
+  if (firstSuspicion) return suspectMember(state, record, now, entry.suspectedMilliseconds)
   const outdated = order < 0 || (!entry.suspected && record.status !== MemberStatus.Live)
   return outdated ? MergeEffect.Correct : MergeEffect.None
 }
 
-/** Suspects a live member. */
-export function suspectMember (state: MembershipState, record: MemberRecord, now: number): MergeEffect {
+/** Suspects a live member, which another host has suspected for the time given. */
+export function suspectMember (state: MembershipState, record: MemberRecord, now: number, suspectedMilliseconds = 0): MergeEffect {
+  record.suspectedAt = now - Math.min(Math.max(suspectedMilliseconds, 0), dropMilliseconds)
   setMemberStatus(state, record, MemberStatus.Suspected, now)
   return MergeEffect.Spread
 }
@@ -42,11 +43,11 @@
 function replaceEntry (state: MembershipState, record: MemberRecord, entry: MemberEntry, now: number): MergeEffect {
   const { entry: before, status } = record
   const newBoot = before.bootId !== entry.bootId
-  record.entry = { ...entry, suspected: false }
+  record.entry = { ...entry, suspected: false, suspectedMilliseconds: undefined }
   if (newBoot) record.ignoreFailuresUntil = now
   if (entry.suspected) {
     if (status !== MemberStatus.Live) return MergeEffect.None
-    return suspectMember(state, record, now)
+    return suspectMember(state, record, now, entry.suspectedMilliseconds)
   }
   if (status !== MemberStatus.Live) {
     setMemberStatus(state, record, MemberStatus.Live, now)
--- a/membership/entry-hosts/src/stepMembership.ts
+++ b/membership/entry-hosts/src/stepMembership.ts
@@ -91,7 +91,7 @@
     state.own.counter += 1
     return chooseRandomPeers(state, spreadPeers, random)
       .filter(() => takeAllowance(state.bundleAllowance, spreadPeers, now))
-      .map(peer => sendTo(state, peer))
+      .map(peer => sendTo(state, peer, now))
   },
   [MembershipEventKind.Leaving]: (state, _event, now, random) => {
     state.own.leaving = true
@@ -113,7 +113,7 @@
   expireOldest(state, state.suspected, now - dropMilliseconds, record => { setMemberStatus(state, record, MemberStatus.Dropped, now) })
   expireOldest(state, state.dropped, now - forgetMilliseconds, record => { forgetMember(state, record.entry.host) })
   const peer = takeRetry(state) ?? chooseTickPeer(state, random)
-  return peer === undefined ? [] : [sendTo(state, peer)]
+  return peer === undefined ? [] : [sendTo(state, peer, now)]
 }
 
 function stepHeartbeat (state: MembershipState, event: Extract<MembershipEvent, { kind: MembershipEventKind.HeartbeatReceived }>, now: number, random: Random): MembershipCommand[] {
@@ -130,7 +130,7 @@
   const corrections = effects.filter(({ effect }) => effect === MergeEffect.Correct).map(({ host }) => host)
   const urgent = effects.filter(({ effect }) => effect === MergeEffect.Spread).map(({ host }) => host)
   const objects = own.some(({ objects }) => objects)
-  const answer = event.answerRequired ? [answerTo(state, event.heartbeat, corrections)] : learnMore(state, event.heartbeat, now, random)
+  const answer = event.answerRequired ? [answerTo(state, event.heartbeat, now, corrections)] : learnMore(state, event.heartbeat, now, random)
   // An objection in the answer reaches the sender of a request; an answer's sender needs a heartbeat.
   const informant = objects && !event.answerRequired ? [sender] : []
   const sends = urgent.length > 0 || objects ? spread(state, urgent, now, random, spreadPeers, informant) : []
@@ -152,21 +152,21 @@
 
 /** Repeats an exchange at once or, without an allowance, at the next tick. */
 function retryExchange (state: MembershipState, { entry }: MemberRecord, now: number): MembershipCommand[] {
-  if (takeAllowance(state.retryAllowance, retryCapacity, now)) return [sendTo(state, entry)]
+  if (takeAllowance(state.retryAllowance, retryCapacity, now)) return [sendTo(state, entry, now)]
   state.retries.add(entry.host)
   return []
 }
 
-function answerTo (state: MembershipState, { sender, membersAfter }: Heartbeat, first: readonly string[]): MembershipCommand {
-  const heartbeat = membersAfter === undefined ? buildHeartbeat(state, sender.host, first) : buildMemberList(state, sender.host, membersAfter)
+function answerTo (state: MembershipState, { sender, membersFrom }: Heartbeat, now: number, first: readonly string[]): MembershipCommand {
+  const heartbeat = membersFrom === undefined ? buildHeartbeat(state, sender.host, now, first) : buildMemberList(state, sender.host, now, membersFrom)
   return { kind: MembershipCommandKind.AnswerHeartbeat, heartbeat }
 }
 
 /** Asks a random member for further ones until all are known. */
 function learnMore (state: MembershipState, answer: Heartbeat, now: number, random: Random): MembershipCommand[] {
-  if (state.learntUpTo === undefined) return []
+  if (state.learnFrom === undefined) return []
   noteMemberList(state, answer)
-  return state.learntUpTo === undefined ? [] : spread(state, [], now, random, 1)
+  return state.learnFrom === undefined ? [] : spread(state, [], now, random, 1)
 }
 
 /** Merges a report about this host. */
@@ -189,11 +189,11 @@
   return [...informants, ...chooseRandomPeers(state, count, random)]
     .filter(({ host }) => !hosts.includes(host))
     .filter(() => takeAllowance(state.changeAllowance, allowanceCapacity, now))
-    .map(peer => sendTo(state, peer, hosts))
+    .map(peer => sendTo(state, peer, now, hosts))
 }
 
-function sendTo (state: MembershipState, { host, peerAddress, bootId, dataCentre }: HeartbeatPeer, first: readonly string[] = []): MembershipCommand {
-  return { kind: MembershipCommandKind.SendHeartbeat, peer: { host, peerAddress, bootId, dataCentre }, heartbeat: buildHeartbeat(state, host, first) }
+function sendTo (state: MembershipState, { host, peerAddress, bootId, dataCentre }: HeartbeatPeer, now: number, first: readonly string[] = []): MembershipCommand {
+  return { kind: MembershipCommandKind.SendHeartbeat, peer: { host, peerAddress, bootId, dataCentre }, heartbeat: buildHeartbeat(state, host, now, first) }
 }
 
 function takeRetry ({ retries, records }: MembershipState): MemberEntry | undefined {
--- a/peers/protocol/src/peerMessage.ts
+++ b/peers/protocol/src/peerMessage.ts
@@ -51,6 +51,7 @@
   return create(HeartbeatSchema, {
     sender: packEntry(message.heartbeat.sender),
     members: message.heartbeat.members.slice(0, maximumEntriesPerHeartbeat - 1).map(packEntry),
+    membersFrom: message.heartbeat.membersFrom,
     bundleDigest: packBytes(message.bundleDigestPrefix.slice(0, 2 * digestPrefixBytes)),
     crashFingerprints: message.crashFingerprints.slice(0, maximumCrashFingerprints).map(({ fingerprint, crashes, ageMilliseconds }) =>
       create(CrashFingerprintSchema, { fingerprint: packBytes(fingerprint), crashes, ageMilliseconds: packCount(ageMilliseconds) })),
@@ -71,7 +72,8 @@
     return succeed({
       heartbeat: {
         sender: unpackEntry(wire.sender),
-        members: unpackList('members', wire.members, maximumEntriesPerHeartbeat - 1).map(unpackEntry)
+        members: unpackList('members', wire.members, maximumEntriesPerHeartbeat - 1).map(unpackEntry),
+        membersFrom: wire.membersFrom
       },
       bundleDigestPrefix: wire.bundleDigest.length === 0 ? '' : unpackBytes('bundle_digest', wire.bundleDigest, digestPrefixBytes),
       crashFingerprints: unpackList('crash_fingerprints', wire.crashFingerprints, maximumCrashFingerprints).map(({ fingerprint, crashes, ageMilliseconds }) =>
@@ -103,6 +105,7 @@
     peerAddress: guestIp === peerIp ? peerAddress.subarray(-2) : peerAddress,
     leaving: entry.leaving,
     suspected: entry.suspected,
+    suspectedMilliseconds: packCount(entry.suspectedMilliseconds ?? 0),
     bundleVersion: BigInt(entry.bundleVersion)
   })
 }
@@ -119,6 +122,7 @@
     peerAddress: unpackAddress('peer_address', wire.peerAddress, guestAddress),
     leaving: wire.leaving,
     suspected: wire.suspected,
+    suspectedMilliseconds: wire.suspected ? wire.suspectedMilliseconds : undefined,
     bundleVersion: unpackCount('bundle_version', wire.bundleVersion)
   }
 }
