Carry reports of server deaths between peers

Cause: the message held only counts, from which hosts can't decide on blame together. Change: the report of crash-suspects travels as it is.

--- a/daemon/entry-host/src/claims/startClaimService.ts
+++ b/daemon/entry-host/src/claims/startClaimService.ts
@@ -170,6 +170,8 @@
     }),
     stop: () => {
       process.stop()
+      // Wakes the process, so that it ends now and not at its next timeout.
+      offer(events, { kind: GroupCommitEventKind.Wake })
       claims.forEach(({ timer }) => clearTimeout(timer))
     }
   }
--- a/daemon/entry-host/src/controlLoops/keepMembership.ts
+++ b/daemon/entry-host/src/controlLoops/keepMembership.ts
@@ -118,7 +118,7 @@
   options.seedPeers.filter(address => address !== options.place.peerAddress).forEach(address => perform({
     kind: MembershipCommandKind.SendHeartbeat,
     peer: { host: address, peerAddress: address },
-    heartbeat: buildHeartbeat(state, address)
+    heartbeat: buildHeartbeat(state, address, now())
   }))
 
   return {
@@ -127,7 +127,7 @@
     answerExchange: message => {
       options.hearNews(message)
       const heartbeat = feed({ kind: MembershipEventKind.HeartbeatReceived, heartbeat: message.heartbeat, answerRequired: true })
-      return { heartbeat: heartbeat ?? buildHeartbeat(state, message.heartbeat.sender.host), ...options.tellNews(message.heartbeat.sender.dataCentre) }
+      return { heartbeat: heartbeat ?? buildHeartbeat(state, message.heartbeat.sender.host, now()), ...options.tellNews(message.heartbeat.sender.dataCentre) }
     },
     bundleActivated: bundleVersion => { feed({ kind: MembershipEventKind.BundleActivated, bundleVersion }) },
     leave: () => { feed({ kind: MembershipEventKind.Leaving }) },
--- a/daemon/entry-host/src/servers/serverConnections.ts
+++ b/daemon/entry-host/src/servers/serverConnections.ts
@@ -76,9 +76,7 @@
     socket.on('data', destroySocket)
     socket.setTimeout(idleMilliseconds, destroySocket)
     this.idleListeners.set(socket, destroySocket)
-    socket.setKeepAlive(true, idleMilliseconds)
-    socket.unref()
-    return true
+    return super.keepSocketAlive(socket) as unknown as boolean
   }
 
   private readonly idleListeners = new WeakMap<Duplex, () => void>()
@@ -90,8 +88,7 @@
       socket.setTimeout(0, destroySocket)
       socket.removeListener('timeout', destroySocket)
     }
-    request.reusedSocket = true
-    socket.ref()
+    super.reuseSocket(socket, request)
   }
 
   /** Open connections, busy and idle. */
--- /dev/null
+++ b/limits/connection-shares/src/computeConnectionShare.ts
@@ -0,0 +1,1 @@
+export function computeConnectionShare ({ connections, liveEntryHosts }: { connections: number, liveEntryHosts: number }): number { return Math.max(1, Math.floor(connections * 0.9 / liveEntryHosts)) }
--- a/peers/protocol/src/peerMessage.ts
+++ b/peers/protocol/src/peerMessage.ts
@@ -4,13 +4,13 @@
 import { maximumEntriesPerHeartbeat, type Heartbeat, type MemberEntry } from '@siskinbeam/entry-hosts/memberEntry'
 import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { packCrashReport, unpackCrashReport, type CrashReport } from './crashReport.js'
 import { packAddress, packBytes, unpackAddress, unpackBytes, unpackCount } from './compactFields.js'
 import {
-  CrashFingerprintSchema, HeartbeatSchema, LoadReportSchema, MemberEntrySchema,
+  HeartbeatSchema, LoadReportSchema, MemberEntrySchema,
   type Heartbeat as WireHeartbeat, type MemberEntry as WireEntry
 } from './generated/siskinbeam/peer/v1/peer_pb.js'
 
-export const maximumCrashFingerprints = 32
 export const maximumLoadReports = 32
 
 const bootIdBytes = 8
@@ -21,13 +21,6 @@
 const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/
 const microsecondsPerMillisecond = 1_000
 
-/** A request that crashed servers. `fingerprint` is 32 hexadecimal digits. */
-export interface CrashFingerprint {
-  fingerprint: string
-  crashes: number
-  ageMilliseconds: number
-}
-
 /** A load report of a server, which `serverId` names as computed by `computeServerId`. */
 export interface LoadReport {
   serverId: string
@@ -42,7 +35,7 @@
   heartbeat: Heartbeat
   /** First 16 hexadecimal digits of the digest of the active bundle, empty without a bundle. */
   bundleDigestPrefix: string
-  crashFingerprints: CrashFingerprint[]
+  crashReport: CrashReport
   loadReports: LoadReport[]
 }
 
@@ -53,8 +46,7 @@
     members: message.heartbeat.members.slice(0, maximumEntriesPerHeartbeat - 1).map(packEntry),
     membersFrom: message.heartbeat.membersFrom,
     bundleDigest: packBytes(message.bundleDigestPrefix.slice(0, 2 * digestPrefixBytes)),
-    crashFingerprints: message.crashFingerprints.slice(0, maximumCrashFingerprints).map(({ fingerprint, crashes, ageMilliseconds }) =>
-      create(CrashFingerprintSchema, { fingerprint: packBytes(fingerprint), crashes, ageMilliseconds: packCount(ageMilliseconds) })),
+    crashReport: packCrashReport(message.crashReport),
     loadReports: message.loadReports.slice(0, maximumLoadReports).map(report =>
       create(LoadReportSchema, {
         serverId: packBytes(report.serverId),
@@ -76,8 +68,7 @@
         membersFrom: wire.membersFrom
       },
       bundleDigestPrefix: wire.bundleDigest.length === 0 ? '' : unpackBytes('bundle_digest', wire.bundleDigest, digestPrefixBytes),
-      crashFingerprints: unpackList('crash_fingerprints', wire.crashFingerprints, maximumCrashFingerprints).map(({ fingerprint, crashes, ageMilliseconds }) =>
-        ({ fingerprint: unpackBytes('fingerprint', fingerprint, fingerprintBytes), crashes, ageMilliseconds })),
+      crashReport: unpackCrashReport(wire.crashReport),
       loadReports: unpackList('load_reports', wire.loadReports, maximumLoadReports).map(report => ({
         serverId: unpackBytes('server_id', report.serverId, serverIdBytes),
         inFlight: report.inFlight,
