--- a/claims/group-commit/test/requestRecord.ts
+++ b/claims/group-commit/test/requestRecord.ts
@@ -22,30 +22,15 @@
   deniedCopies: Copy[]
 }
 
-export interface RequestRecord {
-  violations: string[]
-  counts: Record<string, number>
-  count: (name: string) => void
-  noteSend: (copy: Copy) => void
-  noteNotStarted: (copy: Copy) => void
-  noteRun: (copy: Copy, body: string) => void
-  noteAcknowledged: (copy: Copy) => void
-  noteAnswer: (copy: Copy, code: ResultCode, outcome: Outcome) => void
-  noteReplay: (copy: Copy, answer: StoredAnswer) => void
-  /** Checks at rest that each acknowledged response is stored, and that only crashed boots left a claim open. */
-  checkRows: (table: Table, tableTime: number, isCrashed: (attempt: string) => boolean) => void
-}
+export type RequestRecord = ReturnType<typeof createRequestRecord>
 
-export function createRequestRecord (): RequestRecord {
+export function createRequestRecord () {
   const records = new Map<string, KeyRecord>()
   const violations: string[] = []
   const counts: Record<string, number> = {}
   const find = (key: string): KeyRecord => {
-    const present = records.get(key)
-    if (present !== undefined) return present
-    const created: KeyRecord = { acknowledged: false, deniedCopies: [] }
-    records.set(key, created)
-    return created
+    if (!records.has(key)) records.set(key, { acknowledged: false, deniedCopies: [] })
+    return records.get(key) as KeyRecord
   }
   const require = (holds: boolean, message: string): void => { if (!holds) violations.push(message) }
   const count = (name: string): void => { counts[name] = (counts[name] ?? 0) + 1 }
@@ -58,17 +43,17 @@
     violations,
     counts,
     count,
-    noteSend: copy => {
+    noteSend: (copy: Copy): void => {
       const record = find(copy.key)
       require(record.openSend === undefined, `${copy.key} sent by copy ${copy.number} after copy ${record.openSend?.number}`)
       record.openSend = copy
       count('sent')
     },
-    noteNotStarted: ({ key }) => {
+    noteNotStarted: ({ key }: Copy): void => {
       delete find(key).openSend
       count('not started')
     },
-    noteRun: (copy, body) => {
+    noteRun: (copy: Copy, body: string): void => {
       const record = find(copy.key)
       require(record.ran === undefined, `${copy.key} ran twice`)
       record.deniedCopies.forEach(denied => require(!contradicts(denied, copy), `${copy.key} ran by copy ${copy.number} after copy ${denied.number} was told not-run`))
@@ -76,8 +61,8 @@
       record.body = body
       count('run')
     },
-    noteAcknowledged: ({ key }) => { find(key).acknowledged = true },
-    noteAnswer: (copy, code, outcome) => {
+    noteAcknowledged: ({ key }: Copy): void => { find(key).acknowledged = true },
+    noteAnswer: (copy: Copy, code: ResultCode, outcome: Outcome): void => {
       const record = find(copy.key)
       count(`${ResultCode[code]} ${outcome}`)
       if (outcome === Outcome.Run) require(record.ran?.fingerprint === copy.fingerprint, `${copy.key} told run without a run`)
@@ -85,12 +70,13 @@
       require(record.ran === undefined || !contradicts(copy, record.ran), `${copy.key} copy ${copy.number} told not-run after its run`)
       record.deniedCopies.push(copy)
     },
-    noteReplay: ({ key, fingerprint }, { body }) => {
+    noteReplay: ({ key, fingerprint }: Copy, { body }: StoredAnswer): void => {
       const { ran, body: expected } = find(key)
       require(ran?.fingerprint === fingerprint && body === Buffer.from(expected ?? '').toString('base64'), `${key} replayed another answer`)
       count('replayed')
     },
-    checkRows: (table, tableTime, isCrashed) => [...records].forEach(([key, { acknowledged }]) => {
+    // At rest each acknowledged response is stored, and only crashed boots left a claim open.
+    checkRows: (table: Table, tableTime: number, isCrashed: (attempt: string) => boolean): void => [...records].forEach(([key, { acknowledged }]) => {
       const [stored] = table.read([`claim/desk/${key}`], tableTime)
       const row = decodeClaimRow(stored?.value)
       require(!acknowledged || row?.state === ClaimRowState.Settled, `${key} ran with an answer that is not stored`)
--- a/claims/group-commit/test/simulatedHosts.ts
+++ b/claims/group-commit/test/simulatedHosts.ts
@@ -28,14 +28,13 @@
 }
 
 /** Runs the simulation until the number of steps of both machines is reached, then lets it come to rest. */
-export function simulateHosts ({ seed, steps: wantedSteps, withFaults = true }: { seed: number, steps: number, withFaults?: boolean }): SimulationReport {
+export function simulateHosts ({ seed, steps: wantedSteps }: { seed: number, steps: number }): SimulationReport {
   const time = createSimulatedTime(seed)
   const { after, chance, between } = time
   const store = createSimulatedStore(time)
   const record = createRequestRecord()
   let steps = 0
-  let faulty = withFaults
-  store.setFaults(withFaults)
+  let faulty = true
 
   const createGroup = (now: number): GroupCommitState => createGroupCommitState({ now, transactionsPerSecond: 50, maximumQueuedClaims: 20 })
   const hosts = Array.from({ length: hostCount }, (_, index): Host => {
@@ -194,7 +193,7 @@
   const isEnough = (): boolean => steps >= wantedSteps
   while (!isEnough()) {
     time.advance()
-    if (faulty) disturb()
+    disturb()
     if (chance(0.15)) {
       keys += 1
       sendCopy({ key: `key-${keys}`, fingerprint: 'own', copies: 0, declare: numberings[between(0, numberings.length - 1)] as Guest['declare'] })
--- a/claims/group-commit/test/simulatedStore.ts
+++ b/claims/group-commit/test/simulatedStore.ts
@@ -1,57 +1,38 @@
 // Discrete time in milliseconds, and a table service whose requests and replies get lost or late.
 import { createRandom, pickIndex } from '@siskinbeam/random/createRandom'
-import { createTable, TransactionOutcome, type Table } from '@siskinbeam/stand-in-platform/createTable'
+import { createTable, TransactionOutcome } from '@siskinbeam/stand-in-platform/createTable'
 import type { StoredRow } from '@siskinbeam/request-claims/claimRow'
 import { TransactionResultKind, type PutOperation, type TransactionResult } from '../src/groupCommitMessages.js'
 
 const epochMilliseconds = 1_700_000_000_000
 const clientTimeoutMilliseconds = 300
 
-/** Simulated time with its random numbers. */
-export interface SimulatedTime {
-  now: () => number
-  after: (milliseconds: number, action: () => void) => void
-  /** Runs all actions of the next millisecond. */
-  advance: () => void
-  chance: (share: number) => boolean
-  between: (lowest: number, highest: number) => number
-}
+export type SimulatedTime = ReturnType<typeof createSimulatedTime>
 
-export function createSimulatedTime (seed: number): SimulatedTime {
+/** Simulated time with its random numbers. */
+export function createSimulatedTime (seed: number) {
   const random = createRandom(seed)
   const actions = new Map<number, Array<() => void>>()
   let time = 0
   return {
-    now: () => time,
-    after: (milliseconds, action) => {
+    now: (): number => time,
+    after: (milliseconds: number, action: () => void): void => {
       const at = time + Math.max(1, Math.ceil(milliseconds))
-      const present = actions.get(at)
-      if (present === undefined) actions.set(at, [action])
-      else present.push(action)
+      actions.set(at, [...actions.get(at) ?? [], action])
     },
-    advance: () => {
+    advance: (): void => {
       time += 1
       const due = actions.get(time) ?? []
       actions.delete(time)
       due.forEach(action => action())
     },
-    chance: share => random() < share,
-    between: (lowest, highest) => lowest + pickIndex(random, highest - lowest + 1)
+    chance: (share: number): boolean => random() < share,
+    between: (lowest: number, highest: number): number => lowest + pickIndex(random, highest - lowest + 1)
   }
 }
 
-/** The table service as one host sees it through a bad network. */
-export interface SimulatedStore {
-  table: Table
-  tableTime: () => number
-  /** Without faults every request is answered. */
-  setFaults: (faulty: boolean) => void
-  setOutage: (outage: boolean) => void
-  transact: (operations: PutOperation[], reply: (result: TransactionResult) => void) => void
-  read: (key: string, reply: (row: StoredRow | null | undefined) => void) => void
-}
-
-export function createSimulatedStore ({ after, chance, between, now }: SimulatedTime): SimulatedStore {
+/** The table service as one host sees it through a bad network. Without faults every request is answered. */
+export function createSimulatedStore ({ after, chance, between, now }: SimulatedTime) {
   const table = createTable({ maximumLoggedRows: 1 })
   const tableTime = (): number => epochMilliseconds + now()
   let faulty = true
@@ -86,9 +67,9 @@
   return {
     table,
     tableTime,
-    setFaults: value => { faulty = value },
-    setOutage: value => { outage = value },
-    transact: (operations, reply) => {
+    setFaults: (value: boolean): void => { faulty = value },
+    setOutage: (value: boolean): void => { outage = value },
+    transact: (operations: PutOperation[], reply: (result: TransactionResult) => void): void => {
       const once = answerOnce<TransactionResult>(reply, { kind: TransactionResultKind.Unanswered })
       if (outage || hit(0.02)) return
       if (hit(0.03)) return after(2, () => once({ kind: TransactionResultKind.RateLimited }))
@@ -99,7 +80,7 @@
         if (!replyLost) after(between(1, 3), () => once(result))
       })
     },
-    read: (key, reply) => {
+    read: (key: string, reply: (row: StoredRow | null | undefined) => void): void => {
       const once = answerOnce<StoredRow | null | undefined>(reply, undefined)
       if (!outage && !hit(0.04)) after(between(2, 6), () => once(findRow(key)))
     }
