Move the simulated table service to the stand-ins, and handle refusals for content

Cause: a transaction that the table service refuses for its content would have been repeated for ever and blocked the host; and the simulated service is a stand-in that other lanes can use. Ruled out: counting such a refusal as no answer.

--- a/claims/group-commit/src/groupCommitMessages.ts
+++ b/claims/group-commit/src/groupCommitMessages.ts
@@ -18,6 +18,10 @@
   ConditionFailed = 'condition-failed',
   /** Refused for the rate; nothing was written. */
   RateLimited = 'rate-limited',
+  /** No connection was made; nothing was written. */
+  NotSent = 'not-sent',
+  /** Refused for its content, for example its size; nothing was written, and the same group would be refused again. */
+  Rejected = 'rejected',
   /** No usable answer; the transaction may have taken effect or may still do so. */
   Unanswered = 'unanswered'
 }
@@ -27,6 +31,8 @@
   | { kind: TransactionResultKind.Committed, versions: ReadonlyMap<string, number>, tableTimeMilliseconds: number }
   | { kind: TransactionResultKind.ConditionFailed, rows: ReadonlyMap<string, StoredRow | null>, tableTimeMilliseconds: number }
   | { kind: TransactionResultKind.RateLimited }
+  | { kind: TransactionResultKind.NotSent }
+  | { kind: TransactionResultKind.Rejected }
   | { kind: TransactionResultKind.Unanswered }
 
 export enum GroupCommitEventKind {
--- a/claims/group-commit/src/stepGroupCommit.ts
+++ b/claims/group-commit/src/stepGroupCommit.ts
@@ -80,23 +80,18 @@
   },
   [TransactionResultKind.ConditionFailed]: (state, { writes }, { rows, tableTimeMilliseconds }, now) => {
     noteAnswer(state, tableTimeMilliseconds, now)
-    const others = writes.filter(({ write }) => !rows.has(write.key))
-    state.repeated.push(...others.map(queued => ({ ...queued, repeats: queued.repeats + 1 })))
+    repeatInSmallerGroup(state, writes.filter(({ write }) => !rows.has(write.key)))
     return writes
       .filter(({ write }) => rows.has(write.key))
       .map(({ write }) => report(write, judgeFailedWrite(write, rows.get(write.key) ?? null, tableTimeMilliseconds)))
   },
-  [TransactionResultKind.RateLimited]: (state, current, _result, now) => {
-    const shortest = millisecondsPerSecond / state.transactionsPerSecond
-    state.spacingMilliseconds = Math.min(Math.max(2 * state.spacingMilliseconds, shortest), longestSpacingMilliseconds)
-    state.notBefore = now + state.spacingMilliseconds
-    // After a lost response an earlier copy may still take effect, so the group must stay as it is.
-    if (current.unanswered > 0) {
-      current.repeatAt = state.notBefore
-      return []
-    }
+  [TransactionResultKind.RateLimited]: pauseWithoutEffect,
+  [TransactionResultKind.NotSent]: pauseWithoutEffect,
+  // The group is split until the write that the service does not take is alone.
+  [TransactionResultKind.Rejected]: (state, { writes }) => {
     delete state.current
-    state.repeated.push(...current.writes)
+    if (writes.length === 1) return writes.map(({ write }) => report(write, { kind: WriteResultKind.Refused }))
+    repeatInSmallerGroup(state, writes)
     return []
   },
   [TransactionResultKind.Unanswered]: (_state, current, _result, now) => {
@@ -110,6 +105,25 @@
   return rowBytes + key.length + (answer === undefined ? 0 : JSON.stringify(answer.headers).length + (answer.body?.length ?? 0))
 }
 
+/** After a send without effect the spacing doubles, and the writes return to the queue. */
+function pauseWithoutEffect (state: GroupCommitState, current: Transaction, _result: TransactionResult, now: number): GroupCommitCommand[] {
+  const shortest = millisecondsPerSecond / state.transactionsPerSecond
+  state.spacingMilliseconds = Math.min(Math.max(2 * state.spacingMilliseconds, shortest), longestSpacingMilliseconds)
+  state.notBefore = now + state.spacingMilliseconds
+  // After a lost response an earlier copy may still take effect, so the group must stay as it is.
+  if (current.unanswered > 0) {
+    current.repeatAt = state.notBefore
+    return []
+  }
+  delete state.current
+  state.repeated.push(...current.writes)
+  return []
+}
+
+function repeatInSmallerGroup (state: GroupCommitState, writes: QueuedWrite[]): void {
+  state.repeated.push(...writes.map(queued => ({ ...queued, repeats: queued.repeats + 1 })))
+}
+
 /** A write whose condition failed holds all the same if the row already has its state: an earlier copy was applied. */
 function judgeFailedWrite (write: ClaimWrite, stored: StoredRow | null, tableTimeMilliseconds: number): WriteResult {
   const row = stored === null ? undefined : decodeClaimRow(stored.value)
--- a/claims/group-commit/test/simulatedHosts.ts
+++ b/claims/group-commit/test/simulatedHosts.ts
@@ -4,34 +4,45 @@
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { StoreOutageRule } from '@siskinbeam/schema/bundle'
 import { ClaimCommandKind, ClaimEventKind, type ClaimCommand, type ClaimEvent } from '@siskinbeam/request-claims/claimMessages'
+import type { StoredRow } from '@siskinbeam/request-claims/claimRow'
 import { ClaimPhase, createClaimState, maySend, type ClaimState } from '@siskinbeam/request-claims/claimState'
 import { stepClaim } from '@siskinbeam/request-claims/stepClaim'
-import { GroupCommitCommandKind, GroupCommitEventKind, type GroupCommitCommand, type GroupCommitEvent } from '../src/groupCommitMessages.js'
+import { createSimulatedTime } from '@siskinbeam/stand-in-platform/createSimulatedTime'
+import { TransactionOutcome, type TableRow } from '@siskinbeam/stand-in-platform/createTable'
+import { simulateTableService, type SimulatedReply } from '@siskinbeam/stand-in-platform/simulateTableService'
+import { GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind, type GroupCommitCommand, type GroupCommitEvent, type TransactionResult } from '../src/groupCommitMessages.js'
 import { createGroupCommitState, isIdle, type GroupCommitState } from '../src/groupCommitState.js'
 import { stepGroupCommit } from '../src/stepGroupCommit.js'
-import { createRequestRecord, type Copy, type RequestRecord } from './requestRecord.js'
-import { createSimulatedStore, createSimulatedTime } from './simulatedStore.js'
+import { createRequestRecord, type Copy } from './requestRecord.js'
 
 const hostCount = 6
 const longestPauseMilliseconds = 3_000
 const maximumCopies = 5
 const drainMilliseconds = 30_000
+const clientTimeoutMilliseconds = 300
+// Delayed writes take effect long after the client gave up, and beyond most leases.
+const storeFaults = { lostRequestShare: 0.02, lostReplyShare: 0.05, rateLimitedShare: 0.03, delayedWriteShare: 0.04, delayedWriteMilliseconds: 4_000 }
+
+const toStoredRow = ({ value, version }: TableRow): StoredRow | null => version === null ? null : { value, version }
+const toResult = (reply: SimulatedReply, keys: string[]): TransactionResult => {
+  if (reply.kind !== 'answered') return { kind: reply.kind === 'unanswered' ? TransactionResultKind.Unanswered : TransactionResultKind.RateLimited }
+  const { answer, timeMilliseconds: tableTimeMilliseconds } = reply
+  if (answer.outcome === TransactionOutcome.Full) return { kind: TransactionResultKind.Unanswered }
+  return answer.outcome === TransactionOutcome.Committed
+    ? { kind: TransactionResultKind.Committed, versions: new Map(keys.map(key => [key, answer.transaction])), tableTimeMilliseconds }
+    : { kind: TransactionResultKind.ConditionFailed, rows: new Map(answer.rows.map(row => [row.key, toStoredRow(row)])), tableTimeMilliseconds }
+}
 
 interface Running { claim: ClaimState, copy: Copy, sendNumber: number, wakeNumber: number, gotResponse: boolean, answered: () => void }
 interface Host { name: string, boot: number, sequence: number, clockOffset: number, pausedUntil: number, group: GroupCommitState, wakeNumber: number, claims: Map<string, Running> }
 interface Guest { key: string, fingerprint: string, copies: number, declare: (number: number) => number | undefined }
 
-export interface SimulationReport extends Pick<RequestRecord, 'violations' | 'counts'> {
-  steps: number
-  /** Claims and group commits that were not finished some time after the last fault. */
-  unfinished: number
-}
-
 /** Runs the simulation until the number of steps of both machines is reached, then lets it come to rest. */
-export function simulateHosts ({ seed, steps: wantedSteps }: { seed: number, steps: number }): SimulationReport {
+export function simulateHosts ({ seed, steps: wantedSteps }: { seed: number, steps: number }) {
   const time = createSimulatedTime(seed)
   const { after, chance, between } = time
-  const store = createSimulatedStore(time)
+  const store = simulateTableService(time, clientTimeoutMilliseconds)
+  store.setFaults(storeFaults)
   const record = createRequestRecord()
   let steps = 0
   let faulty = true
@@ -57,7 +68,8 @@
   const obeyGroup = (host: Host, command: GroupCommitCommand): void => {
     if (command.kind === GroupCommitCommandKind.Transact) {
       const { transaction, operations } = command
-      store.transact(operations, result => {
+      store.transact(operations, reply => {
+        const result = toResult(reply, operations.map(({ key }) => key))
         record.count(`transaction ${result.kind}`)
         onHost(host, 1, () => stepGroup(host, { kind: GroupCommitEventKind.TransactionDone, transaction, result }))
       })
@@ -77,16 +89,15 @@
     steps += 1
     stepClaim({ state: running.claim, event, now: readClock(host) }).forEach(command => obey(host, attempt, running, command))
   }
-  const obey = (host: Host, attempt: string, running: Running, command: ClaimCommand): void => {
-    const handle = claimCommands[command.kind] as (host: Host, attempt: string, running: Running, command: ClaimCommand) => void
-    handle(host, attempt, running, command)
-  }
-  const claimCommands: { [Kind in ClaimCommandKind]: (host: Host, attempt: string, running: Running, command: Extract<ClaimCommand, { kind: Kind }>) => void } = {
+  type Obey<Command> = (host: Host, attempt: string, running: Running, command: Command) => void
+  const obey: Obey<ClaimCommand> = (host, attempt, running, command) =>
+    (claimCommands[command.kind] as Obey<ClaimCommand>)(host, attempt, running, command)
+  const claimCommands: { [Kind in ClaimCommandKind]: Obey<Extract<ClaimCommand, { kind: Kind }>> } = {
     [ClaimCommandKind.Write]: (host, _attempt, _running, { write }) => stepGroup(host, { kind: GroupCommitEventKind.Offer, write }),
     [ClaimCommandKind.Withdraw]: (host, _attempt, _running, { writeId }) => stepGroup(host, { kind: GroupCommitEventKind.Withdraw, writeId }),
     [ClaimCommandKind.Read]: (host, attempt, _running, { key }) => store.read(key, row => onHost(host, 1, () => step(host, attempt, row === undefined
       ? { kind: ClaimEventKind.ReadFailed }
-      : { kind: ClaimEventKind.RowRead, row, tableTimeMilliseconds: store.tableTime() }))),
+      : { kind: ClaimEventKind.RowRead, row: toStoredRow(row), tableTimeMilliseconds: store.time() }))),
     [ClaimCommandKind.WakeAt]: (host, attempt, running, { at }) => {
       const number = ++running.wakeNumber
       onHost(host, at - readClock(host), () => { if (running.wakeNumber === number) step(host, attempt, { kind: ClaimEventKind.Wake }) })
@@ -141,16 +152,13 @@
   const accept = (host: Host, copy: Copy, answered: () => void): void => {
     host.sequence += 1
     const now = readClock(host)
+    const { key: idempotencyKey, fingerprint, declared: guestAttempt } = copy
+    const attempt = { host: host.name, boot: `boot-${host.boot}`, sequence: host.sequence }
     const claim = createClaimState({
-      service: 'desk',
-      idempotencyKey: copy.key,
-      attempt: { host: host.name, boot: `boot-${host.boot}`, sequence: host.sequence },
-      fingerprint: copy.fingerprint,
-      guestAttempt: copy.declared,
+      ...{ service: 'desk', idempotencyKey, fingerprint, guestAttempt, attempt, recordLifetimeMilliseconds: 86_400_000 },
       sendBy: now + between(100, 1_500),
       // Before its first answer a host knows the table's time only by its own clock, which may be wrong.
-      tableTimeOffsetMilliseconds: host.group.tableTimeOffsetMilliseconds ?? store.tableTime() - now + between(-2_000, 2_000),
-      recordLifetimeMilliseconds: 86_400_000,
+      tableTimeOffsetMilliseconds: host.group.tableTimeOffsetMilliseconds ?? store.time() - now + between(-2_000, 2_000),
       storeOutage: chance(0.5) ? StoreOutageRule.Hold : StoreOutageRule.Refuse
     })
     host.claims.set(claim.attempt, { claim, copy, sendNumber: 0, wakeNumber: 0, gotResponse: false, answered })
@@ -200,11 +208,11 @@
     }
   }
   faulty = false
-  store.setFaults(false)
+  store.setFaults(undefined)
   after(longestPauseMilliseconds, () => store.setOutage(false))
   Array.from({ length: drainMilliseconds }).forEach(() => time.advance())
   const bootsAlive = new Set(hosts.map(({ name, boot }) => `${name}/boot-${boot}`))
-  record.checkRows(store.table, store.tableTime(), attempt => !bootsAlive.has(attempt.slice(0, attempt.lastIndexOf('/'))))
+  record.checkRows(store.table, store.time(), attempt => !bootsAlive.has(attempt.slice(0, attempt.lastIndexOf('/'))))
   const unfinished = hosts.reduce((sum, { claims, group }) => sum + claims.size + (isIdle(group) ? 0 : 1), 0)
   return { violations: record.violations, counts: record.counts, steps, unfinished }
 }
--- a/claims/group-commit/test/stepGroupCommit.test.ts
+++ b/claims/group-commit/test/stepGroupCommit.test.ts
@@ -9,15 +9,10 @@
 import { createGroupCommitState, isIdle } from '../src/groupCommitState.js'
 import { stepGroupCommit } from '../src/stepGroupCommit.js'
 
-const createWrite = (name: string, kind = ClaimWriteKind.Claim, key = name): ClaimWrite => ({
-  writeId: name,
-  kind,
-  attempt: name,
-  key,
-  row: { state: ClaimRowState.Claimed, attempt: name, fingerprint: '', leaseUntil: 0, guestAttempt: 0 },
-  expectedVersion: null,
-  expiresAtMilliseconds: 0
-})
+const createWrite = (name: string, kind = ClaimWriteKind.Claim, key = name): ClaimWrite => {
+  const row = { state: ClaimRowState.Claimed, attempt: name, fingerprint: '', leaseUntil: 0, guestAttempt: 0 }
+  return { writeId: name, kind, attempt: name, key, row, expectedVersion: null, expiresAtMilliseconds: 0 }
+}
 
 const start = (options = {}) => {
   const state = createGroupCommitState({ now: 0, transactionsPerSecond: 10, ...options })
@@ -33,10 +28,8 @@
 const committed: TransactionResult = { kind: TransactionResultKind.Committed, versions: new Map(), tableTimeMilliseconds: 0 }
 const unanswered: TransactionResult = { kind: TransactionResultKind.Unanswered }
 const rateLimited: TransactionResult = { kind: TransactionResultKind.RateLimited }
-const keysOf = (commands: GroupCommitCommand[]): string[] | undefined => {
-  const sent = commands.find(command => command.kind === GroupCommitCommandKind.Transact)
-  return sent?.operations.map(({ key }) => key)
-}
+const keysOf = (commands: GroupCommitCommand[]): string[] | undefined =>
+  commands.find(command => command.kind === GroupCommitCommandKind.Transact)?.operations.map(({ key }) => key)
 const wakeOf = (commands: GroupCommitCommand[]): number | undefined => commands.find(command => command.kind === GroupCommitCommandKind.WakeAt)?.at
 
 test('a claim starts at once while tokens last, then at the rate', () => {
@@ -77,18 +70,14 @@
   assert.deepEqual(reported, { kind: GroupCommitCommandKind.Report, attempt: 'b', writeId: 'b', result: { kind: WriteResultKind.Held, version: 7 } })
 })
 
-test('refusals for the rate double the pause up to 1 s, and answers end it', () => {
+test('refusals for the rate double the pause up to 1 s', () => {
   const commit = start()
   commit.offer(0, createWrite('a'))
-  let now = 0
-  const pauses = Array.from({ length: 6 }, () => {
-    const at = wakeOf(commit.done(now, rateLimited)) ?? now
-    const pause = at - now
-    now = at
-    assert.deepEqual(keysOf(commit.wake(now)), ['a'])
-    return pause
+  const sentAt = [100, 300, 700, 1_500, 2_500, 3_500]
+  sentAt.forEach((at, index) => {
+    assert.equal(wakeOf(commit.done(sentAt[index - 1] ?? 0, rateLimited)), at)
+    assert.deepEqual(keysOf(commit.wake(at)), ['a'])
   })
-  assert.deepEqual(pauses, [100, 200, 400, 800, 1_000, 1_000])
 })
 
 test('each write ends after at most five answered transactions, whichever rows keep changing', () => {
@@ -114,6 +103,18 @@
   assert.ok(Math.max(...parts.values()) <= 5, `${Math.max(...parts.values())} transactions`)
 })
 
+test('a write that the table service does not take ends alone, and the others of its group hold', () => {
+  const commit = start({ transactionsPerSecond: 1_000 })
+  const results: string[] = []
+  let commands = ['first', 'poison', 'a', 'b'].flatMap(name => commit.offer(0, createWrite(name)))
+  Array.from({ length: 20 }).forEach((_, index) => {
+    const result = keysOf(commands)?.includes('poison') === true ? { kind: TransactionResultKind.Rejected } as const : committed
+    commands = commit.done(2 * index, result)
+    results.push(...commands.flatMap(command => command.kind === GroupCommitCommandKind.Report ? [`${command.writeId} ${command.result.kind}`] : []))
+  })
+  assert.deepEqual(results.sort(), ['a held', 'b held', 'first held', 'poison refused'])
+})
+
 test('claims are refused at the bound, settlements at twice the bound, and a key goes once per transaction', () => {
   const commit = start({ maximumQueuedClaims: 2 })
   commit.offer(0, createWrite('in flight'))
--- a/claims/request-claims/test/stepClaim.test.ts
+++ b/claims/request-claims/test/stepClaim.test.ts
@@ -10,16 +10,9 @@
 import { stepClaim } from '../src/stepClaim.js'
 
 const start = (options = {}) => {
-  const state = createClaimState({
-    service: 'desk',
-    idempotencyKey: 'booking',
-    attempt: { host: 'entry-1', boot: 'boot-1', sequence: 1 },
-    fingerprint: 'own',
-    sendBy: 2_000,
-    tableTimeOffsetMilliseconds: 1_000_000,
-    recordLifetimeMilliseconds: 86_400_000,
-    ...options
-  })
+  const attempt = { host: 'entry-1', boot: 'boot-1', sequence: 1 }
+  const times = { sendBy: 2_000, tableTimeOffsetMilliseconds: 1_000_000, recordLifetimeMilliseconds: 86_400_000 }
+  const state = createClaimState({ service: 'desk', idempotencyKey: 'booking', attempt, fingerprint: 'own', ...times, ...options })
   const step = (now: number, event: ClaimEvent): ClaimCommand[] => stepClaim({ state, event, now })
   const writeDone = (now: number, result: WriteResult): ClaimCommand[] =>
     step(now, { kind: ClaimEventKind.WriteDone, writeId: state.outstanding?.writeId ?? '', result })
