Add siskinbeamctl and the example bundles

Cause: operators need to draft, sign, approve, submit and roll out bundles, and to see which signed version each entry host has in force. Ruled out: storing a body only if it is absent (a document with the same body and wrong signatures would bar the right one), and a separate path for a lost response (each attempt reads the head and decides anew, which also settles a lost race).

Change: the command with global flags and SISKINBEAM_ variables, adapters for the platform and peer clients behind narrow interfaces, rollout by a conditional write, and bundles of the two users' sizes. Conclusion: the clients of platform and peers remain to be wired into runSiskinbeamctl.ts.

--- /dev/null
+++ b/command/siskinbeamctl/src/commandContext.ts
@@ -0,0 +1,83 @@
+// What the commands get from their surroundings, so that tests can run them without files or network.
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { fail, succeed, type CodedError, type Result } from '@siskinbeam/result-codes/codedError'
+import { readSignedBundle, type SignedBundle } from '@siskinbeam/signatures/signedBundle'
+import { readTrustedKeys } from '@siskinbeam/signatures/signingKeys'
+import { verifySignedBundle, type VerifiedBundle } from '@siskinbeam/signatures/verifySignedBundle'
+import type { CommandSettings, SettingName } from './commandSettings.js'
+import type { PeerClient } from './connectPeers.js'
+import { createBodyStore, createHeadStore, type PlatformClients } from './connectPlatform.js'
+
+export type PlatformSettings = Partial<Pick<CommandSettings, 'tableAddress' | 'objectStoreAddress' | 'hostListAddress'>>
+
+export interface CommandSurroundings {
+  environment: Record<string, string | undefined>
+  writeOutput: (line: string) => void
+  writeError: (line: string) => void
+  /** Throws if the file cannot be read. */
+  readFile: (path: string) => Promise<Uint8Array>
+  writeFile: (path: string, bytes: Uint8Array) => Promise<void>
+  createPlatformClients: (settings: PlatformSettings) => PlatformClients
+  createPeerClient: (settings: Pick<CommandSettings, 'operatorKey'>) => PeerClient
+  wait: (milliseconds: number) => Promise<void>
+  /** ISO 8601. */
+  readClock: () => string
+}
+
+export interface CommandContext extends CommandSurroundings {
+  /** Reads settings that the command requires. */
+  settings: <Name extends SettingName>(...required: Name[]) => Result<Pick<CommandSettings, Name>>
+}
+
+/** What a command ends with: the errors to print, none if it succeeded. */
+export type CommandResult = CodedError[]
+
+/** Reads a file; fails with BundleNotFound. */
+export async function readDocumentFile (context: CommandContext, path: string): Promise<Result<Uint8Array>> {
+  try {
+    return succeed(await context.readFile(path))
+  } catch (error) {
+    return fail(ResultCode.BundleNotFound, `cannot read the file: ${(error as Error).message}`, { key: path, expected: 'a bundle file' })
+  }
+}
+
+/** Reads a JSON file; fails with BundleNotFound or BundleInvalid. */
+export async function readJsonFile (context: CommandContext, path: string): Promise<Result<unknown>> {
+  const bytes = await readDocumentFile(context, path)
+  if (!bytes.ok) return bytes
+  try {
+    return succeed(JSON.parse(Buffer.from(bytes.value).toString('utf8')))
+  } catch (error) {
+    return fail(ResultCode.BundleInvalid, `not JSON: ${(error as Error).message}`, { key: path, expected: 'a JSON document' })
+  }
+}
+
+/** Finds a signed document by version, digest or file. Versions and digests are looked up on the platform. */
+export async function findSignedBundle (context: CommandContext, reference: string): Promise<Result<SignedBundle>> {
+  const bytes = await findDocumentBytes(context, reference)
+  return bytes.ok ? readSignedBundle(bytes.value) : bytes
+}
+
+async function findDocumentBytes (context: CommandContext, reference: string): Promise<Result<Uint8Array>> {
+  if (/^\d+$/.test(reference)) {
+    const settings = context.settings('tableAddress')
+    if (!settings.ok) return settings
+    const records = await createHeadStore(context.createPlatformClients(settings.value).table).readRecords([Number(reference)])
+    if (!records.ok) return records
+    const record = records.value[0]
+    if (record === undefined) return fail(ResultCode.BundleNotFound, `version ${reference} was never rolled out`, { key: reference, expected: 'a version that "bundle history" lists' })
+    return findDocumentBytes(context, record.digest)
+  }
+  if (!/^[0-9a-f]{64}$/.test(reference)) return readDocumentFile(context, reference)
+  const settings = context.settings('objectStoreAddress')
+  if (!settings.ok) return settings
+  return createBodyStore(context.createPlatformClients(settings.value).objects).getBody(reference)
+}
+
+/** Verifies a document with the trusted keys of the settings. */
+export function verifyDocument (context: CommandContext, document: SignedBundle): Result<VerifiedBundle> {
+  const settings = context.settings('trustedKeys')
+  if (!settings.ok) return settings
+  const trustedKeys = readTrustedKeys(settings.value.trustedKeys)
+  return trustedKeys.ok ? verifySignedBundle({ document, trustedKeys: trustedKeys.value }) : trustedKeys
+}
--- /dev/null
+++ b/command/siskinbeamctl/src/rolloutCommands.ts
@@ -0,0 +1,83 @@
+// Commands on the bundles of the platform: bundle submit, rollout, status, history.
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import type { RolloutRecord } from '@siskinbeam/rollout/bundleStores'
+import { formatSignedBundle, readSignedBundle } from '@siskinbeam/signatures/signedBundle'
+import type { VerifiedBundle } from '@siskinbeam/signatures/verifySignedBundle'
+import { findSignedBundle, verifyDocument, type CommandContext, type CommandResult } from './commandContext.js'
+import { createBodyStore, createHeadStore } from './connectPlatform.js'
+import { rollOutBundle } from './rollOutBundle.js'
+
+/** Stores a signed and approved bundle. */
+export async function submitBundle (context: CommandContext, path: string): Promise<CommandResult> {
+  const settings = context.settings('objectStoreAddress', 'trustedKeys')
+  if (!settings.ok) return [settings.error]
+  const document = await findSignedBundle(context, path)
+  if (!document.ok) return [document.error]
+  const verified = verifyDocument(context, document.value)
+  if (!verified.ok) return [verified.error]
+  const bodies = createBodyStore(context.createPlatformClients(settings.value).objects)
+  const stored = await bodies.putBody(verified.value.digest, formatSignedBundle(document.value))
+  if (!stored.ok) return [stored.error]
+  context.writeOutput(`submitted ${describe(verified.value)}`)
+  return []
+}
+
+/** Makes a submitted bundle the head. The stored document is verified first, since hosts will fetch that one. */
+export async function rollOutSubmitted (context: CommandContext, reference: string): Promise<CommandResult> {
+  const settings = context.settings('tableAddress', 'objectStoreAddress', 'trustedKeys')
+  if (!settings.ok) return [settings.error]
+  const clients = context.createPlatformClients(settings.value)
+  const document = await findSignedBundle(context, reference)
+  if (!document.ok) return [document.error]
+  const bytes = await createBodyStore(clients.objects).getBody(document.value.digest)
+  if (!bytes.ok) return [bytes.error]
+  const stored = readSignedBundle(bytes.value)
+  const verified = stored.ok ? verifyDocument(context, stored.value) : stored
+  if (!verified.ok) return [verified.error]
+  const result = await rollOutBundle({ verified: verified.value, heads: createHeadStore(clients.table), wait: context.wait, rolledOutAt: context.readClock() })
+  if (!result.ok) return [result.error]
+  context.writeOutput(`rolled out ${describe(verified.value)} head=${result.value.version}`)
+  return []
+}
+
+function describe ({ bundle, digest }: VerifiedBundle): string {
+  return `name=${bundle.name} version=${bundle.version} digest=${digest}`
+}
+
+/** Prints the head, with its signers if the stored document verifies. */
+export async function showHead (context: CommandContext): Promise<CommandResult> {
+  const settings = context.settings('tableAddress', 'objectStoreAddress', 'trustedKeys')
+  if (!settings.ok) return [settings.error]
+  const clients = context.createPlatformClients(settings.value)
+  const stored = await createHeadStore(clients.table).readHead()
+  if (!stored.ok) return [stored.error]
+  const { head } = stored.value
+  if (head === null) return [{ code: ResultCode.BundleNotFound, message: 'no bundle is rolled out', key: 'bundle/head', expected: 'a rollout' }]
+  context.writeOutput(`head version=${head.version} digest=${head.digest}`)
+  const bytes = await createBodyStore(clients.objects).getBody(head.digest)
+  if (!bytes.ok) return [bytes.error]
+  const document = readSignedBundle(bytes.value)
+  const verified = document.ok ? verifyDocument(context, document.value) : document
+  if (!verified.ok) return [verified.error]
+  const { signers, bundle } = verified.value
+  context.writeOutput(`verified name=${bundle.name} author=${signers.author} approver=${signers.approver}`)
+  return []
+}
+
+/** Prints the last rollouts, newest first. */
+export async function showHistory (context: CommandContext, limit: number): Promise<CommandResult> {
+  const settings = context.settings('tableAddress')
+  if (!settings.ok) return [settings.error]
+  const heads = createHeadStore(context.createPlatformClients(settings.value).table)
+  const stored = await heads.readHead()
+  if (!stored.ok) return [stored.error]
+  const newest = stored.value.head?.version ?? 0
+  const records = await heads.readRecords(Array.from({ length: Math.min(limit, newest) }, (_, index) => newest - index))
+  if (!records.ok) return [records.error]
+  records.value.map(formatRecord).forEach(context.writeOutput)
+  return []
+}
+
+function formatRecord ({ version, digest, name, author, approver, rolledOutAt }: RolloutRecord): string {
+  return `version=${version} digest=${digest} name=${name} author=${author} approver=${approver} rolledOutAt=${rolledOutAt}`
+}
--- /dev/null
+++ b/command/siskinbeamctl/test/siskinbeamctl.test.ts
@@ -0,0 +1,116 @@
+// Guards against a rollout that two operators both believe to have won, a lost response reported
+// wrongly, an unapproved bundle that is stored, and a host on another version that goes unnoticed.
+import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
+import { test } from 'node:test'
+import { checkBundle } from '@siskinbeam/schema/checkBundle'
+import { createSigningKeyPair } from '@siskinbeam/signatures/signingKeys'
+import { createFakes, LostWrite } from './fakeSurroundings.js'
+
+const readExample = (name: string): any => JSON.parse(readFileSync(new URL(`../../../../examples/bundles/${name}.json`, import.meta.url), 'utf8'))
+const [author, approver] = [createSigningKeyPair(), createSigningKeyPair()]
+const trusted = { SISKINBEAM_TRUSTED_KEYS: `${author.publicKey},${approver.publicKey}`, SISKINBEAM_OPERATOR_KEY: '0123456789abcdef' }
+
+const createOperators = () => {
+  const fakes = createFakes()
+  const run = (commandLine: string, signingKey = author.privateKey) => fakes.run(commandLine, { ...trusted, SISKINBEAM_SIGNING_KEY: signingKey })
+  const submit = async (name: string, version: number, previousDigest: string | null, slots: number): Promise<string> => {
+    const body = { ...readExample('trust'), version, previousDigest }
+    body.services[0].servers[0].slots = slots
+    fakes.files.set(name, Buffer.from(JSON.stringify(body)))
+    const steps = [await run(`bundle check ${name}`), await run(`bundle sign ${name} --output ${name}.signed`), await run(`bundle approve ${name}.signed --output ${name}.approved`, approver.privateKey), await run(`bundle submit ${name}.approved`)]
+    assert.deepEqual(steps.flatMap(({ errors }) => errors), [])
+    return /digest=([0-9a-f]{64})/.exec(steps[3]!.output[0]!)![1]!
+  }
+  return { ...fakes, run, submit }
+}
+
+test('a bundle goes from the draft to the rollout, and its history and differences can be read', async () => {
+  const { run, submit } = createOperators()
+  const first = await submit('first', 1, null, 3)
+  assert.equal((await run(`bundle rollout ${first}`)).exitCode, 0)
+  const second = await submit('second', 2, first, 5)
+  assert.equal((await run('bundle rollout second.approved')).exitCode, 0)
+  assert.match((await run('bundle status')).output.join('\n'), new RegExp(`head version=2 digest=${second}\nverified name=trust author=`))
+  assert.deepEqual((await run('bundle history --limit 5')).output.map(line => line.slice(0, 9)), ['version=2', 'version=1'])
+  assert.ok((await run('bundle diff 1 second')).output.includes('~ services.permit-desk.servers.permit-desk-01.slots 3 -> 5'))
+})
+
+test('of two operators one wins, and the other is told the version of the winner', async () => {
+  const { run, submit, interference } = createOperators()
+  const [one, two] = [await submit('one', 1, null, 3), await submit('two', 1, null, 4)]
+  interference.push(async () => { assert.equal((await run(`bundle rollout ${two}`)).exitCode, 0) })
+  const loser = await run(`bundle rollout ${one}`)
+  assert.equal(loser.exitCode, 1)
+  assert.match(loser.errors[0]!, new RegExp(`^507 BundleHeadMoved: version 1 \\(digest ${two}\\).*expected="version 2 with previousDigest ${two}"`))
+})
+
+const lostResponses: Array<[string, LostWrite[], number, RegExp]> = [
+  ['took effect', [LostWrite.TakesEffect], 0, /^$/],
+  ['did not take effect', [LostWrite.IsLost, LostWrite.IsLost], 0, /^$/],
+  ['stays unknown', Array(6).fill(LostWrite.IsLost), 1, /^701 TableUnavailable.*may have taken effect/]
+]
+lostResponses.forEach(([title, lost, exitCode, error]) => test(`a rollout whose response was lost and that ${title} is reported so`, async () => {
+  const { run, submit, lostWrites, rows } = createOperators()
+  const digest = await submit('one', 1, null, 3)
+  lostWrites.push(...lost)
+  const result = await run(`bundle rollout ${digest}`)
+  assert.equal(result.exitCode, exitCode)
+  assert.match(result.errors.join('\n'), error)
+  assert.equal((rows.get('bundle/head')?.value as any)?.digest, exitCode === 0 ? digest : undefined)
+}))
+
+test('a rollout that won and was superseded is reported as won, one that lost is not', async () => {
+  const { run, submit } = createOperators()
+  const [first, loser] = [await submit('one', 1, null, 3), await submit('loser', 1, null, 6)]
+  await run(`bundle rollout ${first}`)
+  await run(`bundle rollout ${await submit('two', 2, first, 4)}`)
+  assert.match((await run(`bundle rollout ${first}`)).output[0]!, / version=1 .* head=2$/)
+  assert.match((await run(`bundle rollout ${loser}`)).errors[0]!, /^507 BundleHeadMoved: version 2/)
+})
+
+test('an unapproved bundle is not stored, nor one that its author approves', async () => {
+  const { run, files, objects } = createOperators()
+  files.set('body', Buffer.from(JSON.stringify(readExample('trust'))))
+  await run('bundle sign body --output signed')
+  assert.match((await run('bundle submit signed')).errors[0]!, /^504 BundleNotApproved/)
+  assert.match((await run('bundle approve signed --output own')).errors[0]!, /^504 BundleNotApproved/)
+  assert.ok(objects.size === 0 && !files.has('own'))
+})
+
+test('status names the version on each host, and the hosts that differ or cannot be reached', async () => {
+  const { run, submit, hosts, statuses } = createOperators()
+  const digest = await submit('one', 1, null, 3)
+  await run(`bundle rollout ${digest}`)
+  ;['a', 'b', 'c'].forEach((name, index) => hosts.push({ name, role: 'entry', address: `127.0.0.1:${index + 1}`, dataCentre: 'midland-east', state: 'live' }))
+  hosts.push({ name: 'server', role: 'server', address: '127.0.0.1:9', dataCentre: 'midland-east', state: 'live' })
+  const status = { boot: 'x', signers: [author.publicKey, approver.publicKey], leaving: false, inFlight: 0 }
+  statuses.set('127.0.0.1:1', { ...status, host: 'a', version: 1, digest })
+  statuses.set('127.0.0.1:2', { ...status, host: 'b', version: 0, digest: '' })
+  const { output, exitCode } = await run('status')
+  assert.equal(exitCode, 0)
+  assert.deepEqual(output.map(line => /state=(\w+)|same=.*/.exec(line)?.[0]), ['state=same', 'state=differs', 'state=unreachable', `same=1 differs=1 unreachable=1 head=1 digest=${digest}`])
+  assert.match(output[0]!, new RegExp(`version=1 digest=${digest} signers=`))
+  assert.match((await run('dump --host 127.0.0.1:1')).output[0]!, /"host": "a"/)
+  assert.match((await run('dump --host 127.0.0.1:3')).errors[0]!, /^605 HostUnreachable/)
+})
+
+test('usage errors exit with 2, a missing or wrong setting with 1', async () => {
+  const { run } = createFakes()
+  const exitCodes = await Promise.all(['bundle fly', 'bundle sign body', 'dump --host here', 'bundle history --limit 0', 'status --host 127.0.0.1:1', 'bundle status --table-address nowhere', '--help'].map(async line => (await run(line)).exitCode))
+  assert.deepEqual(exitCodes, [2, 2, 2, 2, 1, 1, 0])
+})
+
+const sizes: Record<string, { dataCentres: number, slots: number, endpoints: number[] }> = {
+  trust: { dataCentres: 3, slots: 3, endpoints: [25, 6] },
+  cascadia: { dataCentres: 4, slots: 4, endpoints: [30, 8] }
+}
+Object.entries(sizes).forEach(([name, expected]) => test(`the example bundle of ${name} is valid and has the size of the user`, () => {
+  const checked = checkBundle(readExample(name))
+  assert.ok(checked.ok, JSON.stringify(checked))
+  const { dataCentres, services } = checked.value
+  assert.deepEqual({ dataCentres: dataCentres.length, slots: services[0]?.servers[0]?.slots, endpoints: services.map(({ servers }) => servers.length) }, expected)
+  const servers = services.flatMap(service => service.servers)
+  assert.ok(servers.every(({ address, connections, slots }) => address.startsWith('127.') && connections === 300 && slots === expected.slots))
+  assert.equal(new Set(servers.map(({ address }) => address)).size, servers.length)
+}))
