--- a/daemon/entry-host/src/claims/startClaimService.ts
+++ b/daemon/entry-host/src/claims/startClaimService.ts
@@ -1,17 +1,18 @@
 // Runs the claims of one host: it drives the claim of each request and the group commit that they
 // share, and carries their reads and transactions to the table service. The group commit is a process,
 // since requests of the whole host wait for it; a claim itself is stepped by plain calls.
-import { alternatives, createChannel, createTimeout, offer, type ProcessBody } from '@siskinbeam/processes/channels'
+import { createChannel, offer, take, type ProcessBody } from '@siskinbeam/processes/channels'
 import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import type { Metrics } from '@siskinbeam/metrics/createMetrics'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
-import type { TableClient, TransactResult } from '@siskinbeam/clients/createTableClient'
+import type { TableClient } from '@siskinbeam/clients/createTableClient'
 import {
-  GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind, type GroupCommitCommand, type GroupCommitEvent, type PutOperation, type TransactionResult
+  GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind, type GroupCommitCommand, type GroupCommitEvent
 } from '@siskinbeam/group-commit/groupCommitMessages'
 import { countQueued, createGroupCommitState, isIdle } from '@siskinbeam/group-commit/groupCommitState'
 import { stepGroupCommit } from '@siskinbeam/group-commit/stepGroupCommit'
+import { toTransactionResult } from '@siskinbeam/group-commit/toTransactionResult'
 import { ClaimCommandKind, ClaimEventKind, WriteResultKind, type ClaimCommand, type ClaimEvent } from '@siskinbeam/request-claims/claimMessages'
 import { ClaimPhase, createClaimState, maySend, type ClaimState, type CreateClaimStateOptions } from '@siskinbeam/request-claims/claimState'
 import { stepClaim } from '@siskinbeam/request-claims/stepClaim'
@@ -51,7 +52,6 @@
 const channelSize = 1_024
 const transactionTimeoutMilliseconds = 1_000
 const flushPollMilliseconds = 20
-const longestIdleMilliseconds = 60_000
 
 /** Starts the claim service. */
 export function startClaimService (options: StartClaimServiceOptions): ClaimService {
@@ -60,7 +60,7 @@
   const events = createChannel<GroupCommitEvent>(channelSize)
   const claims = new Map<string, OpenClaim>()
   let sequence = 0
-  let wakeGroupAt = Infinity
+  let wakeTimer: NodeJS.Timeout | undefined
 
   const feed = (claim: OpenClaim, event: ClaimEvent): void => {
     stepClaim({ state: claim.state, event, now: now() }).forEach(command => perform(claim, command))
@@ -101,19 +101,22 @@
       metrics.count('claim_transactions_total')
       metrics.count('claim_rows_total', operations.length)
       const startedAt = now()
-      transact(table, operations).then(result => {
+      table.transact(operations, { timeoutMilliseconds: transactionTimeoutMilliseconds }).then(result => {
         metrics.recordMilliseconds('claim_transaction_milliseconds', now() - startedAt)
-        offer(events, { kind: GroupCommitEventKind.TransactionDone, transaction, result })
+        offer(events, { kind: GroupCommitEventKind.TransactionDone, transaction, result: toTransactionResult(result) })
       }, () => offer(events, { kind: GroupCommitEventKind.TransactionDone, transaction, result: { kind: TransactionResultKind.Unanswered } }))
     },
     [GroupCommitCommandKind.Report]: ({ attempt, writeId, result }) => {
       const claim = claims.get(attempt)
       if (claim !== undefined) feed(claim, { kind: ClaimEventKind.WriteDone, writeId, result })
     },
-    [GroupCommitCommandKind.WakeAt]: ({ at }) => { wakeGroupAt = at }
+    // A timer of its own can be cleared; a timeout channel of js-csp can't and would outlive each event.
+    [GroupCommitCommandKind.WakeAt]: ({ at }) => {
+      clearTimeout(wakeTimer)
+      wakeTimer = setTimeout(() => offer(events, { kind: GroupCommitEventKind.Wake }), Math.max(0, at - now()))
+    }
   }
   const stepGroup = (event: GroupCommitEvent): void => {
-    if (event.kind === GroupCommitEventKind.Wake) wakeGroupAt = Infinity
     stepGroupCommit({ state: group, event, now: now() }).forEach(command => (groupCommands[command.kind] as (command: GroupCommitCommand) => void)(command))
   }
 
@@ -121,11 +124,7 @@
     name: 'group-commit',
     logger: options.logger,
     body: function * (): ProcessBody {
-      while (true) {
-        const wait = Math.min(Math.max(0, wakeGroupAt - now()), longestIdleMilliseconds)
-        const { value } = yield alternatives([events, createTimeout(wait)])
-        stepGroup(value ?? { kind: GroupCommitEventKind.Wake })
-      }
+      while (true) stepGroup(yield take(events))
     }
   })
 
@@ -170,25 +169,10 @@
     }),
     stop: () => {
       process.stop()
+      clearTimeout(wakeTimer)
       // Wakes the process, so that it ends now and not at its next timeout.
       offer(events, { kind: GroupCommitEventKind.Wake })
       claims.forEach(({ timer }) => clearTimeout(timer))
     }
   }
 }
-
-const resultKindsByCode: Partial<Record<ResultCode, TransactionResultKind.RateLimited | TransactionResultKind.Unanswered>> = {
-  [ResultCode.TableRateLimited]: TransactionResultKind.RateLimited
-}
-
-async function transact (table: TableClient, operations: PutOperation[]): Promise<TransactionResult> {
-  return readTransactResult(await table.transact(operations, { timeoutMilliseconds: transactionTimeoutMilliseconds }))
-}
-
-function readTransactResult (result: TransactResult): TransactionResult {
-  if (result.ok) return { kind: TransactionResultKind.Committed, versions: result.value.versions, tableTimeMilliseconds: result.value.timeMilliseconds }
-  if (result.conflict !== undefined) {
-    return { kind: TransactionResultKind.ConditionFailed, rows: result.conflict.rows, tableTimeMilliseconds: result.conflict.timeMilliseconds }
-  }
-  return { kind: resultKindsByCode[result.error.code] ?? TransactionResultKind.Unanswered }
-}
--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -139,4 +139,3 @@
   host.metrics.count('retries_total')
   schedule(dispatch, decision.delayMilliseconds, () => sendNext(dispatch, false))
 }
-
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -150,4 +150,3 @@
   if (exchange.route?.idempotent === true) cancelOpen(dispatch)
   accountFor(exchange, { code: ResultCode.GuestCancelled, message: 'the guest closed its connection' })
 }
-
--- a/daemon/entry-host/src/startEntryHost.ts
+++ b/daemon/entry-host/src/startEntryHost.ts
@@ -63,13 +63,13 @@
   const now = (): number => performance.now()
   const peerClients = createPeerClients({ key: settings.peerKey, timeoutMilliseconds: peerTimeoutMilliseconds, now })
 
-  let membership: MembershipLoop | undefined
-  let bundles: BundleWatch | undefined
-  const livePeers = (): MemberEntry[] => membership === undefined ? [] : listLiveEntryHosts(membership.state, now()).slice(1)
-  const listAddresses = (dataCentre: string | undefined): AddressList => membership === undefined
+  // The loops need each other, so they find one another here once all have started.
+  const loops: { membership?: MembershipLoop, bundles?: BundleWatch } = {}
+  const livePeers = (): MemberEntry[] => loops.membership === undefined ? [] : listLiveEntryHosts(loops.membership.state, now()).slice(1)
+  const listAddresses = (dataCentre: string | undefined): AddressList => loops.membership === undefined
     ? { addresses: [], timeToLiveSeconds: defaultAddressRule.timeToLiveSeconds }
     : answerAddresses({
-      membership: membership.state,
+      membership: loops.membership.state,
       ...(dataCentre === undefined ? {} : { dataCentre }),
       rule: core.host.activeBundle()?.bundle.entryAddresses ?? defaultAddressRule,
       now: now(),
@@ -77,10 +77,10 @@
     })
   const news = exchangeNews({
     host: () => core.host,
-    own: () => membership?.state.own as MemberEntry,
+    own: () => loops.membership?.state.own as MemberEntry,
     livePeers,
     peerClients,
-    bundleDigestPrefix: () => shortenDigest(bundles?.head())
+    bundleDigestPrefix: () => shortenDigest(loops.bundles?.head())
   })
   const core: HostCore = createHostCore({
     name: settings.host,
@@ -92,7 +92,7 @@
     metrics,
     table,
     listAddresses,
-    mayServe: () => bundles?.mayServe() ?? false,
+    mayServe: () => loops.bundles?.mayServe() ?? false,
     announceCrash: news.announceCrash,
     shareReports: news.shareReports
   })
@@ -103,11 +103,11 @@
     operatorKey: settings.operatorKey,
     logger,
     handlers: {
-      exchange: message => (membership as MembershipLoop).answerExchange(message),
-      fetchBundle: async version => (bundles as BundleWatch).fetchForPeer(version),
+      exchange: message => (loops.membership as MembershipLoop).answerExchange(message),
+      fetchBundle: async version => (loops.bundles as BundleWatch).fetchForPeer(version),
       dump: () => dump(),
       status: () => {
-        const status = bundles?.status()
+        const status = loops.bundles?.status()
         return {
           host: settings.host,
           bootId,
@@ -122,7 +122,7 @@
     }
   })
   const guestAddress = await listen(core.listener, settings.guestAddress)
-  membership = keepMembership({
+  const membership = keepMembership({
     place: { host: settings.host, bootId, dataCentre: settings.dataCentre, guestAddress, peerAddress: peerServer.address },
     seedPeers: settings.seedPeers,
     peerClients,
@@ -134,34 +134,34 @@
     tellNews: news.tell,
     hearNews: message => {
       news.hear(message)
-      bundles?.hearPeer(message)
+      loops.bundles?.hearPeer(message)
     },
     onHostList: hosts => noteListedServers(core, hosts)
   })
-  const loop = membership
-  bundles = watchBundles({
+  loops.membership = membership
+  const bundles = watchBundles({
     trustedKeys: trustedKeys.value,
     table,
     objects,
     peerClients,
     listPeers: livePeers,
-    listedHosts: loop.listedHosts,
+    listedHosts: membership.listedHosts,
     logger,
     metrics,
     now,
     random,
     putInForce: ({ bundle, digest }) => {
       core.putInForce(bundle, digest)
-      loop.bundleActivated(bundle.version)
+      membership.bundleActivated(bundle.version)
     }
   })
-  const watch = bundles
-  const measuring = measureServers({ host: core.host, logger, listNearPeers: () => listDataCentrePeers(loop.state).map(({ host }) => host) })
-  const capacity = shareCapacity({ host: core.host, logger, countEntryHosts: () => countLiveEntryHosts(loop.state, now()) })
-  const dump = (): string => JSON.stringify(describeHost({ host: core.host, membership: loop.state, rollout: watch.status(), inFlight: core.inFlight() }))
-  metrics.gauge('bundle_version', () => watch.head()?.version ?? 0)
-  metrics.gauge('isolated_milliseconds', () => watch.status().isolatedMilliseconds ?? 0)
-  metrics.gauge('live_entry_hosts', () => countLiveEntryHosts(loop.state, now()))
+  loops.bundles = bundles
+  const measuring = measureServers({ host: core.host, logger, listNearPeers: () => listDataCentrePeers(membership.state).map(({ host }) => host) })
+  const capacity = shareCapacity({ host: core.host, logger, countEntryHosts: () => countLiveEntryHosts(membership.state, now()) })
+  const dump = (): string => JSON.stringify(describeHost({ host: core.host, membership: membership.state, rollout: bundles.status(), inFlight: core.inFlight() }))
+  metrics.gauge('bundle_version', () => bundles.head()?.version ?? 0)
+  metrics.gauge('isolated_milliseconds', () => bundles.status().isolatedMilliseconds ?? 0)
+  metrics.gauge('live_entry_hosts', () => countLiveEntryHosts(membership.state, now()))
   const operators = settings.metricsAddress === ''
     ? undefined
     : createOperatorsListener({ operatorKey: settings.operatorKey, renderMetrics: metrics.render, dump })
@@ -169,7 +169,7 @@
   logger.info('host started', { bootId, dataCentre: settings.dataCentre, guestAddress, peerAddress: peerServer.address, seed })
 
   const stopAll = async (): Promise<void> => {
-    [loop, watch, measuring, capacity].forEach(part => part.stop())
+    [membership, bundles, measuring, capacity].forEach(part => part.stop())
     operators?.close()
     operators?.closeAllConnections()
     core.stop()
@@ -183,7 +183,7 @@
     peerAddress: peerServer.address,
     dump,
     leave: () => {
-      leavingPromise ??= leaveGracefully(core, loop, settings, logger).then(stopAll)
+      leavingPromise ??= leaveGracefully(core, membership, settings, logger).then(stopAll)
       return leavingPromise
     }
   })
--- a/peers/protocol/src/peerMessage.ts
+++ b/peers/protocol/src/peerMessage.ts
@@ -15,7 +15,6 @@
 
 const bootIdBytes = 8
 const digestPrefixBytes = 8
-const fingerprintBytes = 16
 const serverIdBytes = 8
 const largestCount = 0xffff_ffff
 const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/
