--- a/daemon/entry-host/src/claims/startClaimService.ts
+++ b/daemon/entry-host/src/claims/startClaimService.ts
@@ -5,7 +5,6 @@
 import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import type { Metrics } from '@siskinbeam/metrics/createMetrics'
-import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import type { TableClient } from '@siskinbeam/clients/createTableClient'
 import {
   GroupCommitCommandKind, GroupCommitEventKind, TransactionResultKind, type GroupCommitCommand, type GroupCommitEvent
