--- a/command/siskinbeamctl/src/runSiskinbeamctl.ts
+++ b/command/siskinbeamctl/src/runSiskinbeamctl.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 // Entry point of siskinbeamctl: gives the commands files, clocks and clients.
 import { readFile, writeFile } from 'node:fs/promises'
 import { setTimeout as wait } from 'node:timers/promises'
