--- a/routing/server-choice/src/stepServerChoice.ts
+++ b/routing/server-choice/src/stepServerChoice.ts
@@ -1,4 +1,5 @@
 // Takes what happens to requests, and load reports from any source, into the state of the choice.
+import { ReportSource } from '@siskinbeam/probing/loadReport'
 import { addToPool, removeFromPool } from '@siskinbeam/probing/reportPool'
 import {
   ChoiceEventKind, createServerLoad,
@@ -42,7 +43,7 @@
     const isNews = cancelled !== true || latencyMilliseconds > (load.latencyMilliseconds ?? state.meanLatencyMilliseconds)
     if (isNews) noteLatency(state, load, latencyMilliseconds, now)
   },
-  [ChoiceEventKind.Reported]: (state, { server, report, ageMilliseconds }, now) => {
+  [ChoiceEventKind.Reported]: (state, { server, report, source, ageMilliseconds }, now) => {
     const load = state.byName.get(server)
     const at = now - ageMilliseconds
     if (load === undefined || at < load.reportedAt) return
@@ -51,7 +52,8 @@
     load.ownChange = 0
     if (report.slots !== undefined) load.slots = report.slots
     state.meanLoadPerSlot += (report.inFlight / load.slots - state.meanLoadPerSlot) * serviceSmoothing
-    addToPool(state.pool, server, at)
+    // A report that several hosts get at once would send them all to the same server.
+    if (source !== ReportSource.Peer) addToPool(state.pool, server, at)
   },
   [ChoiceEventKind.Shed]: (state, { server }, now) => {
     const load = state.byName.get(server)
