Halve the cost of a choice

Cause: a choice among 18 servers cost 3.2 us (10 servers) to 7.9 us (14,000 without a subset). Ruled out: fewer candidates (five of the pool: trust p99 94.7 -> 102.0). Change: one pass over the pool that reads weights only of a new least; the pool holds records instead of names; the weight of an observed latency falls linearly instead of by a power.

--- a/routing/probing/src/reportPool.ts
+++ b/routing/probing/src/reportPool.ts
@@ -11,25 +11,26 @@
 // One use: hosts that see the same free slot and each use it twice overload the server. Measured, see the policy comparison.
 export const defaultReportPoolLimits: ReportPoolLimits = { capacity: 16, maximumUses: 1, maximumAgeMilliseconds: 1_000 }
 
-export interface PooledReport {
-  server: string
+export interface PooledReport<Server> {
+  server: Server
   /** When the server made the report, in the time of this host. */
   at: number
   uses: number
 }
 
-export interface ReportPool {
+/** Servers are compared by identity: names or records. */
+export interface ReportPool<Server> {
   limits: ReportPoolLimits
-  entries: PooledReport[]
+  entries: Array<PooledReport<Server>>
 }
 
 /** Creates an empty pool. */
-export function createReportPool (limits: ReportPoolLimits = defaultReportPoolLimits): ReportPool {
+export function createReportPool<Server> (limits: ReportPoolLimits = defaultReportPoolLimits): ReportPool<Server> {
   return { limits, entries: [] }
 }
 
 /** Adds a report of a server in place of its former one. */
-export function addToPool (pool: ReportPool, server: string, at: number): void {
+export function addToPool<Server> (pool: ReportPool<Server>, server: Server, at: number): void {
   const present = pool.entries.findIndex(entry => entry.server === server)
   if (present >= 0) pool.entries.splice(present, 1)
   else if (pool.entries.length >= pool.limits.capacity) pool.entries.shift()
@@ -37,20 +38,20 @@
 }
 
 /** Drops reports that are too old or used up and gives the rest. The array belongs to the pool. */
-export function refreshPool (pool: ReportPool, now: number): readonly PooledReport[] {
+export function refreshPool<Server> (pool: ReportPool<Server>, now: number): ReadonlyArray<PooledReport<Server>> {
   const { maximumUses, maximumAgeMilliseconds } = pool.limits
-  const isUsable = ({ at, uses }: PooledReport): boolean => uses < maximumUses && now - at <= maximumAgeMilliseconds
+  const isUsable = ({ at, uses }: PooledReport<Server>): boolean => uses < maximumUses && now - at <= maximumAgeMilliseconds
   if (!pool.entries.every(isUsable)) pool.entries = pool.entries.filter(isUsable)
   return pool.entries
 }
 
 /** Counts one use of the report of a server, if it is in the pool. */
-export function useFromPool (pool: ReportPool, server: string): void {
+export function useFromPool<Server> (pool: ReportPool<Server>, server: Server): void {
   const entry = pool.entries.find(candidate => candidate.server === server)
   if (entry !== undefined) entry.uses += 1
 }
 
 /** Removes a server, for example because it is leaving. */
-export function removeFromPool (pool: ReportPool, server: string): void {
+export function removeFromPool<Server> (pool: ReportPool<Server>, server: Server): void {
   pool.entries = pool.entries.filter(entry => entry.server !== server)
 }
--- a/routing/probing/test/stepProbing.test.ts
+++ b/routing/probing/test/stepProbing.test.ts
@@ -61,7 +61,7 @@
 })
 
 test('the pool keeps the newest report of a server and drops used, old and displaced ones', () => {
-  const pool = createReportPool({ capacity: 2, maximumUses: 2, maximumAgeMilliseconds: 100 })
+  const pool = createReportPool<string>({ capacity: 2, maximumUses: 2, maximumAgeMilliseconds: 100 })
   const list = (now: number): string[] => refreshPool(pool, now).map(({ server }) => server)
   addToPool(pool, 'desk-1', 0)
   addToPool(pool, 'desk-2', 10)
--- a/routing/server-choice/src/choiceState.ts
+++ b/routing/server-choice/src/choiceState.ts
@@ -49,15 +49,15 @@
   sampledServers: number
   /** A report keeps 1/e of its weight after this many mean latencies of the service. */
   reportLifetimeInLatencies: number
-  /** Power of the latency relative to the service's in the expected wait; 0 ignores latency. */
-  latencyExponent: number
+  /** Weight of the latency relative to the service's mean, from 0 (ignored) to 1. */
+  latencyWeight: number
   pool: ReportPoolLimits
 }
 
 export interface ServerChoiceState {
   servers: ServerLoad[]
   byName: Map<string, ServerLoad>
-  pool: ReportPool
+  pool: ReportPool<ServerLoad>
   tuning: OursTuning
   nextRoundRobin: number
   /** Mean requests per slot over the reports seen, weighted to recent ones. */
@@ -69,7 +69,7 @@
 export const defaultTuning: OursTuning = {
   sampledServers: 2,
   reportLifetimeInLatencies: 2,
-  latencyExponent: 1,
+  latencyWeight: 1,
   pool: defaultReportPoolLimits
 }
 
--- a/routing/server-choice/src/chooseServer.ts
+++ b/routing/server-choice/src/chooseServer.ts
@@ -48,16 +48,23 @@
   return chooseLeast(state.servers.filter(server => isAllowed(options, server)), ({ name }) => readLoad(name) + random() * tieSpread)
 }
 
+// Whether a pooled server is accepted is asked only when it would be the least so far: the weights are
+// the dearer part. Drawn servers are accepted already.
 const chooseOurs: Choose = options => {
   const { state, now } = options
-  const pooled = refreshPool(state.pool, now)
-    .map(({ server }) => state.byName.get(server) as ServerLoad)
-    .filter(server => isAccepted(options, server))
-  const drawn = Array.from({ length: state.tuning.sampledServers }, () => drawServer(options))
-    .filter(server => server !== undefined)
-  const chosen = chooseLeast([...pooled, ...drawn], server => estimateWait(state, server, now))
-  if (chosen !== undefined) useFromPool(state.pool, chosen.name)
-  return chosen
+  let least: ServerLoad | undefined
+  let leastWait = Number.POSITIVE_INFINITY
+  const consider = (server: ServerLoad, isKnownAccepted: boolean): void => {
+    const wait = estimateWait(state, server, now)
+    if (wait >= leastWait || !(isKnownAccepted || isAccepted(options, server))) return
+    least = server
+    leastWait = wait
+  }
+  refreshPool(state.pool, now).forEach(({ server }) => consider(server, false))
+  Array.from({ length: state.tuning.sampledServers }, () => drawServer(options))
+    .forEach(server => { if (server !== undefined) consider(server, true) })
+  if (least !== undefined) useFromPool(state.pool, least)
+  return least
 }
 
 const choosers: Record<Policy, Choose> = {
--- a/routing/server-choice/src/estimateWait.ts
+++ b/routing/server-choice/src/estimateWait.ts
@@ -3,8 +3,9 @@
 // latency that this host observed.
 import type { ServerChoiceState, ServerLoad } from './choiceState.js'
 
-// After this time without a response, an observed latency says nothing of the present.
-const latencyLifetimeMilliseconds = 2_000
+// An observed latency loses its weight evenly over this time without a response. A power of the ratio with an
+// exponential loss gave the same p99 at twice the cost.
+const latencyLifetimeMilliseconds = 4_000
 
 /** Requests that the server probably has now. Own requests are certain, so it is never below them. */
 export function estimateInFlight (state: ServerChoiceState, load: ServerLoad, now: number): number {
@@ -21,7 +22,7 @@
 }
 
 function relativeLatency (state: ServerChoiceState, load: ServerLoad, now: number): number {
-  if (load.latencyMilliseconds === undefined || state.tuning.latencyExponent === 0) return 1
-  const confidence = Math.exp((load.latencySeenAt - now) / latencyLifetimeMilliseconds)
-  return (load.latencyMilliseconds / state.meanLatencyMilliseconds) ** (state.tuning.latencyExponent * confidence)
+  if (load.latencyMilliseconds === undefined || state.tuning.latencyWeight === 0) return 1
+  const confidence = Math.max(0, 1 - (now - load.latencySeenAt) / latencyLifetimeMilliseconds) * state.tuning.latencyWeight
+  return 1 + (load.latencyMilliseconds / state.meanLatencyMilliseconds - 1) * confidence
 }
--- a/routing/server-choice/src/stepServerChoice.ts
+++ b/routing/server-choice/src/stepServerChoice.ts
@@ -26,9 +26,9 @@
 
 const handlers: Handlers = {
   [ChoiceEventKind.ServersChanged]: (state, { servers }) => {
-    state.servers = servers.map(server => ({ ...(state.byName.get(server.name) ?? createServerLoad(server)), slots: server.slots }))
+    state.servers = servers.map(server => Object.assign(state.byName.get(server.name) ?? createServerLoad(server), { slots: server.slots }))
     state.byName = new Map(state.servers.map(server => [server.name, server]))
-    state.pool.entries = state.pool.entries.filter(({ server }) => state.byName.has(server))
+    state.pool.entries = state.pool.entries.filter(({ server }) => state.byName.has(server.name))
   },
   [ChoiceEventKind.Sent]: (state, { server }) => {
     const load = state.byName.get(server)
@@ -53,7 +53,7 @@
     if (report.slots !== undefined) load.slots = report.slots
     state.meanLoadPerSlot += (report.inFlight / load.slots - state.meanLoadPerSlot) * serviceSmoothing
     // A report that several hosts get at once would send them all to the same server.
-    if (source !== ReportSource.Peer) addToPool(state.pool, server, at)
+    if (source !== ReportSource.Peer) addToPool(state.pool, load, at)
   },
   [ChoiceEventKind.Shed]: (state, { server }, now) => {
     const load = state.byName.get(server)
@@ -63,7 +63,7 @@
     load.reportedInFlight = Math.max(load.reportedInFlight, load.slots + 1)
     load.reportedAt = now
     load.ownChange = 0
-    removeFromPool(state.pool, server)
+    removeFromPool(state.pool, load)
   }
 }
 
