Count failures and cancelled requests as slow

Cause: a server that fails at once looked like the fastest one and drew requests until it was ejected. Change: CompletionKind on the event Completed; a failure counts as five mean latencies or more, a cancellation only as a lower bound.

--- a/routing/policy-comparison/src/simulatedHost.ts
+++ b/routing/policy-comparison/src/simulatedHost.ts
@@ -5,7 +5,7 @@
 import { createProbingState, ProbingCommandKind, ProbingEventKind, stepProbing, tickMilliseconds, type ProbingCommand, type ProbingEvent } from '@siskinbeam/probing/stepProbing'
 import { drawLognormal, pickIndex, type Random } from '@siskinbeam/random/createRandom'
 import { chooseServer } from '@siskinbeam/server-choice/chooseServer'
-import { ChoiceEventKind, createServerChoiceState, type ChoiceEvent } from '@siskinbeam/server-choice/choiceState'
+import { ChoiceEventKind, CompletionKind, createServerChoiceState, type ChoiceEvent } from '@siskinbeam/server-choice/choiceState'
 import { stepServerChoice } from '@siskinbeam/server-choice/stepServerChoice'
 import { createServerHealthState, HealthEventKind, type HealthEvent } from '@siskinbeam/server-health/healthState'
 import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
@@ -127,12 +127,12 @@
     if (!attempt.isOpen) return
     attempt.isOpen = false
     const latencyMilliseconds = time.now - attempt.sentAt
-    stepChoice({ kind: ChoiceEventKind.Completed, server: attempt.server, latencyMilliseconds })
+    stepChoice({ kind: ChoiceEventKind.Completed, server: attempt.server, completion: CompletionKind.Responded, latencyMilliseconds })
     stepHealth({ kind: HealthEventKind.Responded, server: attempt.server, signs: { draining: false }, latencyMilliseconds })
     noteReport(attempt.server, report, ReportSource.Response)
     request.attempts.filter(({ isOpen }) => isOpen).forEach(other => {
       other.isOpen = false
-      stepChoice({ kind: ChoiceEventKind.Completed, server: other.server, latencyMilliseconds: time.now - other.sentAt, cancelled: true })
+      stepChoice({ kind: ChoiceEventKind.Completed, server: other.server, completion: CompletionKind.Cancelled, latencyMilliseconds: time.now - other.sentAt })
       time.schedule(oneWayMilliseconds, other.cancel)
     })
     finish(request, false)
--- a/routing/server-choice/src/choiceState.ts
+++ b/routing/server-choice/src/choiceState.ts
@@ -12,18 +12,27 @@
   ServersChanged = 'servers-changed',
   /** A request is about to be written. */
   Sent = 'sent',
-  /** A request ended, whatever its outcome, except by a shed. */
+  /** A request ended, other than by a shed. */
   Completed = 'completed',
   Reported = 'reported',
   /** The server refused to start a request. */
   Shed = 'shed'
 }
 
+export enum CompletionKind {
+  /** A response arrived whole. */
+  Responded = 'responded',
+  /** The connection was lost or refused, time ran out, or the response was an error of the server. */
+  Failed = 'failed',
+  /** This host gave up, for example because a hedge responded first. */
+  Cancelled = 'cancelled'
+}
+
 export type ChoiceEvent =
   | { kind: ChoiceEventKind.ServersChanged, servers: readonly ChoiceServer[] }
   | { kind: ChoiceEventKind.Sent, server: string }
-  /** `latencyMilliseconds` is the time from the send; `cancelled` tells that this host gave up, which makes it a lower bound. */
-  | { kind: ChoiceEventKind.Completed, server: string, latencyMilliseconds: number, cancelled?: boolean }
+  /** `latencyMilliseconds` is the time from the send. */
+  | { kind: ChoiceEventKind.Completed, server: string, completion: CompletionKind, latencyMilliseconds: number }
   | { kind: ChoiceEventKind.Reported, server: string, report: LoadReport, source: ReportSource, ageMilliseconds: number }
   | { kind: ChoiceEventKind.Shed, server: string }
 
--- a/routing/server-choice/src/stepServerChoice.ts
+++ b/routing/server-choice/src/stepServerChoice.ts
@@ -2,12 +2,14 @@
 import { ReportSource } from '@siskinbeam/probing/loadReport'
 import { addToPool, removeFromPool } from '@siskinbeam/probing/reportPool'
 import {
-  ChoiceEventKind, createServerLoad,
+  ChoiceEventKind, CompletionKind, createServerLoad,
   type ChoiceEvent, type ServerChoiceState, type ServerLoad
 } from './choiceState.js'
 
 const serverLatencySmoothing = 0.2
 const serviceSmoothing = 0.02
+// A failure counts as a response that takes this many times the mean.
+const failureLatencies = 5
 
 export interface StepServerChoiceOptions {
   state: ServerChoiceState
@@ -36,16 +38,16 @@
     load.ownInFlight += 1
     load.ownChange += 1
   },
-  [ChoiceEventKind.Completed]: (state, { server, latencyMilliseconds, cancelled }, now) => {
+  [ChoiceEventKind.Completed]: (state, { server, completion, latencyMilliseconds }, now) => {
     const load = state.byName.get(server)
     if (load === undefined) return
     endOwnRequest(load)
-    const isNews = cancelled !== true || latencyMilliseconds > (load.latencyMilliseconds ?? state.meanLatencyMilliseconds)
-    if (isNews) noteLatency(state, load, latencyMilliseconds, now)
+    noteCompletion[completion](state, load, latencyMilliseconds, now)
   },
   [ChoiceEventKind.Reported]: (state, { server, report, source, ageMilliseconds }, now) => {
     const load = state.byName.get(server)
-    const at = now - ageMilliseconds
+    // A negative age can only come from a fault of the sender.
+    const at = now - Math.max(0, ageMilliseconds)
     if (load === undefined || at < load.reportedAt) return
     load.reportedInFlight = report.inFlight
     load.reportedAt = at
@@ -72,9 +74,24 @@
   load.ownChange -= 1
 }
 
-function noteLatency (state: ServerChoiceState, load: ServerLoad, latencyMilliseconds: number, now: number): void {
+type NoteLatency = (state: ServerChoiceState, load: ServerLoad, latencyMilliseconds: number, now: number) => void
+
+const noteCompletion: Record<CompletionKind, NoteLatency> = {
+  [CompletionKind.Responded]: (state, load, latencyMilliseconds, now) => {
+    noteServerLatency(load, latencyMilliseconds, now)
+    state.meanLatencyMilliseconds += (latencyMilliseconds - state.meanLatencyMilliseconds) * serviceSmoothing
+  },
+  // A server that fails at once would otherwise look like the fastest.
+  [CompletionKind.Failed]: (state, load, latencyMilliseconds, now) =>
+    noteServerLatency(load, Math.max(latencyMilliseconds, failureLatencies * state.meanLatencyMilliseconds), now),
+  // The time until a cancellation is a lower bound of the latency, so it counts only if it is long.
+  [CompletionKind.Cancelled]: (state, load, latencyMilliseconds, now) => {
+    if (latencyMilliseconds > (load.latencyMilliseconds ?? state.meanLatencyMilliseconds)) noteServerLatency(load, latencyMilliseconds, now)
+  }
+}
+
+function noteServerLatency (load: ServerLoad, latencyMilliseconds: number, now: number): void {
   const previous = load.latencyMilliseconds ?? latencyMilliseconds
   load.latencyMilliseconds = previous + (latencyMilliseconds - previous) * serverLatencySmoothing
   load.latencySeenAt = now
-  state.meanLatencyMilliseconds += (latencyMilliseconds - state.meanLatencyMilliseconds) * serviceSmoothing
 }
--- a/routing/server-choice/test/chooseServer.test.ts
+++ b/routing/server-choice/test/chooseServer.test.ts
@@ -7,7 +7,7 @@
 import { createRandom } from '@siskinbeam/random/createRandom'
 import { ReportSource } from '@siskinbeam/probing/loadReport'
 import { chooseServer } from '../src/chooseServer.js'
-import { ChoiceEventKind, createServerChoiceState, defaultTuning, type ChoiceEvent, type ServerChoiceState } from '../src/choiceState.js'
+import { ChoiceEventKind, CompletionKind, createServerChoiceState, defaultTuning, type ChoiceEvent, type ServerChoiceState } from '../src/choiceState.js'
 import { stepServerChoice } from '../src/stepServerChoice.js'
 
 const seed = 20_244
@@ -19,6 +19,8 @@
 }
 const report = (server: string, inFlight: number, ageMilliseconds = 0): ChoiceEvent =>
   ({ kind: ChoiceEventKind.Reported, server, report: { inFlight, queued: 0, slots: 3 }, source: ReportSource.Probe, ageMilliseconds })
+const complete = (server: string, latencyMilliseconds: number, completion = CompletionKind.Responded): ChoiceEvent =>
+  ({ kind: ChoiceEventKind.Completed, server, completion, latencyMilliseconds })
 const run = (state: ServerChoiceState, now: number, ...events: ChoiceEvent[]): void =>
   events.forEach(event => stepServerChoice({ state, event, now }))
 const countChoices = (state: ServerChoiceState, now: number, policy = Policy.Ours): Map<string, number> => {
@@ -30,7 +32,7 @@
 const serverArbitrary = fastCheck.nat(7).map(index => `desk-${index}`)
 const eventArbitrary: fastCheck.Arbitrary<ChoiceEvent> = fastCheck.oneof(
   serverArbitrary.map((server): ChoiceEvent => ({ kind: ChoiceEventKind.Sent, server })),
-  fastCheck.tuple(serverArbitrary, fastCheck.nat(500)).map(([server, latencyMilliseconds]): ChoiceEvent => ({ kind: ChoiceEventKind.Completed, server, latencyMilliseconds })),
+  fastCheck.tuple(serverArbitrary, fastCheck.constantFrom(...Object.values(CompletionKind)), fastCheck.nat(500)).map(([server, completion, latency]) => complete(server, latency, completion)),
   fastCheck.tuple(serverArbitrary, fastCheck.nat(9), fastCheck.nat(100)).map(([server, inFlight, age]) => report(server, inFlight, age)),
   serverArbitrary.map((server): ChoiceEvent => ({ kind: ChoiceEventKind.Shed, server })))
 
@@ -79,16 +81,23 @@
   assert.notEqual(choose(), 'desk-4')
 })
 
-test('a straggler that reports no load gets less than a fair share', () => {
-  const state = createService(8)
-  Array.from({ length: 160 }, (_, index) => run(state, index, { kind: ChoiceEventKind.Completed, server: `desk-${index % 8}`, latencyMilliseconds: index % 8 === 0 ? 200 : 20 }))
-  Array.from({ length: 8 }, (_, index) => run(state, 160, report(`desk-${index}`, index === 0 ? 0 : 2)))
-  assert.ok((countChoices(state, 161).get('desk-0') ?? 0) < 300 / 8 / 2)
+const oddServers: Array<[string, number, CompletionKind]> = [
+  ['a straggler', 200, CompletionKind.Responded],
+  ['a server that fails at once', 1, CompletionKind.Failed],
+  ['a server whose requests are cancelled after long waits', 200, CompletionKind.Cancelled]
+]
+oddServers.forEach(([title, latency, completion]) => {
+  test(`${title} gets less than half a fair share although it reports no load`, () => {
+    const state = createService(8)
+    Array.from({ length: 160 }, (_, index) => run(state, index, index % 8 === 0 ? complete('desk-0', latency, completion) : complete(`desk-${index % 8}`, 20)))
+    Array.from({ length: 8 }, (_, index) => run(state, 160, report(`desk-${index}`, index === 0 ? 0 : 2)))
+    assert.ok((countChoices(state, 161).get('desk-0') ?? 0) < 300 / 8 / 2)
+  })
 })
 
 test('a request that ends without a known send or on a removed server does no harm', () => {
   const state = createService(2)
-  run(state, 0, { kind: ChoiceEventKind.Completed, server: 'desk-1', latencyMilliseconds: 5 }, { kind: ChoiceEventKind.Shed, server: 'gone' })
+  run(state, 0, complete('desk-1', 5), { kind: ChoiceEventKind.Shed, server: 'gone' })
   assert.equal(state.byName.get('desk-1')?.ownInFlight, 0)
   assert.equal(countChoices(createService(0), 0).get(''), 300)
 })
--- a/routing/server-health/src/healthState.ts
+++ b/routing/server-health/src/healthState.ts
@@ -41,7 +41,10 @@
 export type HealthEvent =
   | { kind: HealthEventKind.ServersChanged, servers: readonly string[] }
   | { kind: HealthEventKind.Sent, server: string }
-  /** `latencyMilliseconds` is left out for responses that say nothing of the server's speed, such as sheds. */
+  /**
+   * `latencyMilliseconds` is without the round trip to the server's data centre, or a far server would count
+   * as a straggler. It is left out for responses that say nothing of the server's speed, such as sheds.
+   */
   | { kind: HealthEventKind.Responded, server: string, signs: ServerSigns, latencyMilliseconds?: number }
   /** `signs` is given if the failure was a response, for example with status 500. */
   | { kind: HealthEventKind.Failed, server: string, signs?: ServerSigns }
