--- a/routing/server-choice/src/choiceState.ts
+++ b/routing/server-choice/src/choiceState.ts
@@ -12,18 +12,27 @@
   ServersChanged = 'servers-changed',
   /** A request is about to be written. */
   Sent = 'sent',
-  /** A request ended, whatever its outcome, except by a shed. */
+  /** A request ended, other than by a shed. */
   Completed = 'completed',
   Reported = 'reported',
   /** The server refused to start a request. */
   Shed = 'shed'
 }
 
+export enum CompletionKind {
+  /** A response arrived whole. */
+  Responded = 'responded',
+  /** The connection was lost or refused, time ran out, or the response was an error of the server. */
+  Failed = 'failed',
+  /** This host gave up, for example because a hedge responded first. */
+  Cancelled = 'cancelled'
+}
+
 export type ChoiceEvent =
   | { kind: ChoiceEventKind.ServersChanged, servers: readonly ChoiceServer[] }
   | { kind: ChoiceEventKind.Sent, server: string }
-  /** `latencyMilliseconds` is the time from the send; `cancelled` tells that this host gave up, which makes it a lower bound. */
-  | { kind: ChoiceEventKind.Completed, server: string, latencyMilliseconds: number, cancelled?: boolean }
+  /** `latencyMilliseconds` is the time from the send. */
+  | { kind: ChoiceEventKind.Completed, server: string, completion: CompletionKind, latencyMilliseconds: number }
   | { kind: ChoiceEventKind.Reported, server: string, report: LoadReport, source: ReportSource, ageMilliseconds: number }
   | { kind: ChoiceEventKind.Shed, server: string }
 
@@ -43,21 +52,21 @@
   latencySeenAt: number
 }
 
-/** Constants of policy `ours`, fixed by measurement; see docs/measurements.md. */
+/** Constants of policy `ours`, measured by routing/policy-comparison. */
 export interface OursTuning {
   /** Random servers considered besides the pool. */
   sampledServers: number
   /** A report keeps 1/e of its weight after this many mean latencies of the service. */
   reportLifetimeInLatencies: number
-  /** Power of the latency relative to the service's in the expected wait; 0 ignores latency. */
-  latencyExponent: number
+  /** Weight of the latency relative to the service's mean, from 0 (ignored) to 1. */
+  latencyWeight: number
   pool: ReportPoolLimits
 }
 
 export interface ServerChoiceState {
   servers: ServerLoad[]
   byName: Map<string, ServerLoad>
-  pool: ReportPool
+  pool: ReportPool<ServerLoad>
   tuning: OursTuning
   nextRoundRobin: number
   /** Mean requests per slot over the reports seen, weighted to recent ones. */
@@ -69,7 +78,7 @@
 export const defaultTuning: OursTuning = {
   sampledServers: 2,
   reportLifetimeInLatencies: 2,
-  latencyExponent: 1,
+  latencyWeight: 1,
   pool: defaultReportPoolLimits
 }
 
--- a/routing/server-choice/src/stepServerChoice.ts
+++ b/routing/server-choice/src/stepServerChoice.ts
@@ -1,12 +1,15 @@
 // Takes what happens to requests, and load reports from any source, into the state of the choice.
+import { ReportSource } from '@siskinbeam/probing/loadReport'
 import { addToPool, removeFromPool } from '@siskinbeam/probing/reportPool'
 import {
-  ChoiceEventKind, createServerLoad,
+  ChoiceEventKind, CompletionKind, createServerLoad,
   type ChoiceEvent, type ServerChoiceState, type ServerLoad
 } from './choiceState.js'
 
 const serverLatencySmoothing = 0.2
 const serviceSmoothing = 0.02
+// A failure counts as a response that takes this many times the mean.
+const failureLatencies = 5
 
 export interface StepServerChoiceOptions {
   state: ServerChoiceState
@@ -25,9 +28,9 @@
 
 const handlers: Handlers = {
   [ChoiceEventKind.ServersChanged]: (state, { servers }) => {
-    state.servers = servers.map(server => ({ ...(state.byName.get(server.name) ?? createServerLoad(server)), slots: server.slots }))
+    state.servers = servers.map(server => Object.assign(state.byName.get(server.name) ?? createServerLoad(server), { slots: server.slots }))
     state.byName = new Map(state.servers.map(server => [server.name, server]))
-    state.pool.entries = state.pool.entries.filter(({ server }) => state.byName.has(server))
+    state.pool.entries = state.pool.entries.filter(({ server }) => state.byName.has(server.name))
   },
   [ChoiceEventKind.Sent]: (state, { server }) => {
     const load = state.byName.get(server)
@@ -35,23 +38,24 @@
     load.ownInFlight += 1
     load.ownChange += 1
   },
-  [ChoiceEventKind.Completed]: (state, { server, latencyMilliseconds, cancelled }, now) => {
+  [ChoiceEventKind.Completed]: (state, { server, completion, latencyMilliseconds }, now) => {
     const load = state.byName.get(server)
     if (load === undefined) return
     endOwnRequest(load)
-    const isNews = cancelled !== true || latencyMilliseconds > (load.latencyMilliseconds ?? state.meanLatencyMilliseconds)
-    if (isNews) noteLatency(state, load, latencyMilliseconds, now)
+    noteCompletion[completion](state, load, latencyMilliseconds, now)
   },
-  [ChoiceEventKind.Reported]: (state, { server, report, ageMilliseconds }, now) => {
+  [ChoiceEventKind.Reported]: (state, { server, report, source, ageMilliseconds }, now) => {
     const load = state.byName.get(server)
-    const at = now - ageMilliseconds
+    // A negative age can only come from a fault of the sender.
+    const at = now - Math.max(0, ageMilliseconds)
     if (load === undefined || at < load.reportedAt) return
     load.reportedInFlight = report.inFlight
     load.reportedAt = at
     load.ownChange = 0
     if (report.slots !== undefined) load.slots = report.slots
     state.meanLoadPerSlot += (report.inFlight / load.slots - state.meanLoadPerSlot) * serviceSmoothing
-    addToPool(state.pool, server, at)
+    // A report that several hosts get at once would send them all to the same server.
+    if (source !== ReportSource.Peer) addToPool(state.pool, load, at)
   },
   [ChoiceEventKind.Shed]: (state, { server }, now) => {
     const load = state.byName.get(server)
@@ -61,7 +65,7 @@
     load.reportedInFlight = Math.max(load.reportedInFlight, load.slots + 1)
     load.reportedAt = now
     load.ownChange = 0
-    removeFromPool(state.pool, server)
+    removeFromPool(state.pool, load)
   }
 }
 
@@ -70,9 +74,24 @@
   load.ownChange -= 1
 }
 
-function noteLatency (state: ServerChoiceState, load: ServerLoad, latencyMilliseconds: number, now: number): void {
+type NoteLatency = (state: ServerChoiceState, load: ServerLoad, latencyMilliseconds: number, now: number) => void
+
+const noteCompletion: Record<CompletionKind, NoteLatency> = {
+  [CompletionKind.Responded]: (state, load, latencyMilliseconds, now) => {
+    noteServerLatency(load, latencyMilliseconds, now)
+    state.meanLatencyMilliseconds += (latencyMilliseconds - state.meanLatencyMilliseconds) * serviceSmoothing
+  },
+  // A server that fails at once would otherwise look like the fastest.
+  [CompletionKind.Failed]: (state, load, latencyMilliseconds, now) =>
+    noteServerLatency(load, Math.max(latencyMilliseconds, failureLatencies * state.meanLatencyMilliseconds), now),
+  // The time until a cancellation is a lower bound of the latency, so it counts only if it is long.
+  [CompletionKind.Cancelled]: (state, load, latencyMilliseconds, now) => {
+    if (latencyMilliseconds > (load.latencyMilliseconds ?? state.meanLatencyMilliseconds)) noteServerLatency(load, latencyMilliseconds, now)
+  }
+}
+
+function noteServerLatency (load: ServerLoad, latencyMilliseconds: number, now: number): void {
   const previous = load.latencyMilliseconds ?? latencyMilliseconds
   load.latencyMilliseconds = previous + (latencyMilliseconds - previous) * serverLatencySmoothing
   load.latencySeenAt = now
-  state.meanLatencyMilliseconds += (latencyMilliseconds - state.meanLatencyMilliseconds) * serviceSmoothing
 }
