Test the peer protocol, the exchange over sockets and the addresses; move the measurement to its own directory

Cause: the server's close returned before its last session had closed, and a connection without a call was kept for 5 minutes. Ruled out: closing sockets at once, which cuts answers short. Change: close waits for the sessions; a session without a call is destroyed after 10 s.

--- a/membership/entry-hosts/src/memberEntry.ts
+++ b/membership/entry-hosts/src/memberEntry.ts
@@ -16,8 +16,8 @@
   bundleVersion: number
   /** Whether the host that reports the entry suspects it. */
   suspected: boolean
-  /** For how long it has been suspected, so that all hosts leave it out of addresses at the same time. */
-  suspectedMilliseconds?: number
+  /** For how long, so that all hosts leave it out of addresses at the same time; 0 if not suspected. */
+  suspectedMilliseconds: number
 }
 
 /** The membership part of an exchange. The sender's own entry is not among the members. */
--- a/membership/entry-hosts/src/membershipState.ts
+++ b/membership/entry-hosts/src/membershipState.ts
@@ -101,7 +101,7 @@
 export function createMembershipState (options: CreateMembershipStateOptions): MembershipState {
   const { now, bundleVersion = 0, ...place } = options
   return {
-    own: { ...place, bundleVersion, counter: 1, leaving: false, suspected: false },
+    own: { ...place, bundleVersion, counter: 1, leaving: false, suspected: false, suspectedMilliseconds: 0 },
     records: new Map(),
     ring: [],
     suspected: new Set(),
--- a/membership/entry-hosts/src/mergeEntry.ts
+++ b/membership/entry-hosts/src/mergeEntry.ts
@@ -43,7 +43,7 @@
 function replaceEntry (state: MembershipState, record: MemberRecord, entry: MemberEntry, now: number): MergeEffect {
   const { entry: before, status } = record
   const newBoot = before.bootId !== entry.bootId
-  record.entry = { ...entry, suspected: false, suspectedMilliseconds: undefined }
+  record.entry = { ...entry, suspected: false, suspectedMilliseconds: 0 }
   if (newBoot) record.ignoreFailuresUntil = now
   if (entry.suspected) {
     if (status !== MemberStatus.Live) return MergeEffect.None
--- a/membership/entry-hosts/test/stepMembership.test.ts
+++ b/membership/entry-hosts/test/stepMembership.test.ts
@@ -107,7 +107,7 @@
 const random = createRandom(seed)
 const place = { dataCentre: 'dc-1', guestAddress: '10.0.0.1:80', peerAddress: '10.0.0.1:81' }
 const bootAt = (epochMilliseconds: number): string => createBootId({ epochMilliseconds, random })
-const entryOf = (host: string, changes: Partial<MemberEntry> = {}): MemberEntry => ({ ...place, host, bootId: bootAt(1_000), counter: 1, leaving: false, suspected: false, bundleVersion: 0, ...changes })
+const entryOf = (host: string, changes: Partial<MemberEntry> = {}): MemberEntry => ({ ...place, host, bootId: bootAt(1_000), counter: 1, leaving: false, suspected: false, suspectedMilliseconds: 0, bundleVersion: 0, ...changes })
 const start = () => createMembershipState({ ...place, host: 'own', bootId: bootAt(5_000), now: 0 })
 const hear = (state: ReturnType<typeof start>, sender: MemberEntry, members: MemberEntry[] = []) =>
   stepMembership({ state, event: { kind: MembershipEventKind.HeartbeatReceived, heartbeat: { sender, members }, answerRequired: true }, now: 1, random })
--- a/peers/exchange/test/measureExchange.ts
+++ b/peers/exchange/src/measurement/measureExchange.ts
@@ -1,7 +1,8 @@
 // Measures the socket bytes and the processor time of an exchange over a reused session, and the bytes
-// of the first exchange of a session. Run: node peers/exchange/lib/test/measureExchange.js
-import { createPeerClient } from '../src/createPeerClient.js'
-import { makeMessage, peerKey, startPeer, startRelay } from './peerFixtures.js'
+// of the first exchange of a session. Run: node peers/exchange/lib/src/measurement/measureExchange.js
+import { createPeerClient } from '../createPeerClient.js'
+import { startRelay } from './startRelay.js'
+import { makeMessage, peerKey, startSamplePeer } from './startSamplePeer.js'
 
 const exchanges = 2_000
 const warmUpExchanges = 200
@@ -14,7 +15,7 @@
 }
 
 async function measure (members: number, loadReports: number): Promise<void> {
-  const server = await startPeer()
+  const server = await startSamplePeer()
   const relay = await startRelay(server.address)
   const message = makeMessage(members, loadReports)
   const client = createPeerClient({ address: relay.address, key: peerKey, timeoutMilliseconds: 1_000 })
--- a/peers/exchange/src/servePeers.ts
+++ b/peers/exchange/src/servePeers.ts
@@ -1,5 +1,6 @@
 // Serves the service Peer over HTTP/2 without encryption. Keys are checked before a body is read. Every
 // error of a session or a stream is logged and ends that session or stream only.
+import { once } from 'node:events'
 import { createServer, constants, type Http2ServerRequest, type Http2ServerResponse, type ServerHttp2Session } from 'node:http2'
 import type { AddressInfo, Socket } from 'node:net'
 import { Code, ConnectError } from '@connectrpc/connect'
@@ -65,7 +66,9 @@
   server.on('session', session => {
     sessions.add(session)
     session.once('close', () => { sessions.delete(session) })
-    session.setTimeout(limits.servedSessionIdleMilliseconds, () => { session.close() })
+    // A connection that never makes a call is closed soon; destroying it also ends one without a preface.
+    session.setTimeout(limits.servedCallMilliseconds, () => { session.destroy() })
+    session.once('stream', () => { session.setTimeout(limits.servedSessionIdleMilliseconds) })
   })
   server.on('sessionError', error => { logger.debug('peer session failed', { reason: error.message }) })
   server.on('error', error => { logger.error('peer server failed', { reason: error.message }) })
@@ -87,14 +90,14 @@
   return {
     address: `${bound.address}:${bound.port}`,
     sessions: () => sessions.size,
-    close: graceMilliseconds => new Promise(resolve => {
+    close: async graceMilliseconds => {
       const force = setTimeout(() => { sockets.forEach(socket => { socket.destroy() }) }, graceMilliseconds)
-      server.close(() => {
-        clearTimeout(force)
-        resolve()
-      })
+      const sessionsClosed = Array.from(sessions, session => once(session, 'close'))
+      server.close()
       sessions.forEach(session => { session.close() })
-    })
+      await Promise.all([once(server, 'close'), ...sessionsClosed])
+      clearTimeout(force)
+    }
   }
 }
 
--- /dev/null
+++ b/peers/exchange/test/peerExchange.test.ts
@@ -0,0 +1,132 @@
+// Guards the peer address, over real sockets on loopback: against callers without a key, bytes that are
+// not HTTP/2, messages over the limit, peers that are slow or silent, and sessions that are not reused.
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect as connectHttp2 } from 'node:http2'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { after, before, test } from 'node:test'
+import fastCheck from 'fast-check'
+import { fail } from '@siskinbeam/result-codes/codedError'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { createPeerClient, type PeerClient } from '../src/createPeerClient.js'
+import { createPeerClients } from '../src/createPeerClients.js'
+import { maximumRequestBytes } from '../src/peerLimits.js'
+import type { PeerServer } from '../src/servePeers.js'
+import { startRelay } from '../src/measurement/startRelay.js'
+import { makeMessage, operatorKey, peerKey, startSamplePeer } from '../src/measurement/startSamplePeer.js'
+
+const timeoutMilliseconds = 2_000
+const message = makeMessage(7, 32)
+let server: PeerServer
+const clients: PeerClient[] = []
+const call = (key: string, address = server.address, timeout = timeoutMilliseconds): PeerClient => {
+  const client = createPeerClient({ address, key, timeoutMilliseconds: timeout })
+  clients.push(client)
+  return client
+}
+const codeOf = (result: { ok: boolean, error?: { code: ResultCode } }): ResultCode | undefined => result.ok ? undefined : result.error?.code
+
+before(async () => {
+  server = await startSamplePeer({ fetchBundle: async version => version === 404 ? fail(ResultCode.BundleNotFound, 'no such bundle') : { ok: true, value: { version, bundle: Buffer.alloc(1_000_000, 7) } } })
+})
+after(async () => {
+  clients.forEach(client => { client.close() })
+  await server.close(100)
+})
+
+test('the peer key and the operator key each allow only their methods, and other keys none', async () => {
+  const allowed = async (key: string): Promise<Array<ResultCode | undefined>> => {
+    const client = call(key)
+    return (await Promise.all([client.exchange(message), client.fetchBundle(7), client.status(), client.dump()])).map(codeOf)
+  }
+  assert.deepEqual(await allowed(peerKey), [undefined, undefined, undefined, ResultCode.NotAuthorized])
+  assert.deepEqual(await allowed(operatorKey), [ResultCode.NotAuthorized, undefined, undefined, undefined])
+  const { NotAuthorized } = ResultCode
+  assert.deepEqual(await allowed(peerKey + '0'), [NotAuthorized, NotAuthorized, NotAuthorized, NotAuthorized])
+  assert.deepEqual(await allowed(''), [NotAuthorized, NotAuthorized, NotAuthorized, NotAuthorized])
+})
+
+test('answers arrive unchanged, and a missing bundle has its own code', async () => {
+  assert.deepEqual(await call(peerKey).exchange(message), { ok: true, value: message })
+  const fetched = await call(peerKey).fetchBundle(7)
+  assert.ok(fetched.ok && fetched.value.version === 7 && fetched.value.bundle.length === 1_000_000)
+  assert.equal(codeOf(await call(peerKey).fetchBundle(404)), ResultCode.BundleNotFound)
+})
+
+test('bytes that are not HTTP/2 end their own connection only', async () => {
+  const garbage = fastCheck.sample(fastCheck.uint8Array({ minLength: 1, maxLength: 2_000 }), { seed: 20_261_204, numRuns: 30 })
+  const preface = Buffer.from('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n')
+  await Promise.all([...garbage, ...garbage.map(bytes => Buffer.concat([preface, bytes])), Buffer.from('GET / HTTP/1.1\r\nhost: a\r\n\r\n')].map(async bytes => {
+    const [host, port] = server.address.split(':')
+    const socket = connect(Number(port), host ?? '')
+    socket.on('error', () => undefined)
+    socket.end(bytes)
+    socket.resume()
+    await once(socket, 'close')
+  }))
+  assert.equal(codeOf(await call(peerKey).exchange(message)), undefined)
+})
+
+test('a request over the limit, or that is not protobuf, is refused and the server goes on', async () => {
+  const session = connectHttp2(`http://${server.address}`)
+  session.on('error', () => undefined)
+  const post = async (body: Buffer): Promise<number> => {
+    const stream = session.request({ ':method': 'POST', ':path': '/siskinbeam.peer.v1.Peer/Exchange', 'content-type': 'application/proto', 'connect-protocol-version': '1', authorization: `Bearer ${peerKey}` })
+    stream.on('error', () => undefined)
+    stream.end(body)
+    stream.resume()
+    const [headers] = await once(stream, 'response') as [Record<string, unknown>]
+    return Number(headers[':status'])
+  }
+  assert.ok(await post(Buffer.alloc(maximumRequestBytes + 1, 10)) >= 400)
+  assert.ok(await post(Buffer.from([255, 255, 255])) >= 400)
+  session.close()
+  assert.equal(codeOf(await call(peerKey).exchange(message)), undefined)
+})
+
+test('a peer that refuses, is silent or talks garbage gives code 605, and after a silence a new connection is opened', async () => {
+  const garbageServer = createServer(socket => { socket.on('error', () => undefined).end('HTTP/1.1 400 Bad Request\r\n\r\n') })
+  let silent = true
+  const relayTarget = server.address
+  const silentServer = createServer(near => {
+    near.on('error', () => undefined)
+    if (silent) return
+    const [host, port] = relayTarget.split(':')
+    const far = connect(Number(port), host ?? '')
+    near.pipe(far).pipe(near)
+  })
+  const addresses = await Promise.all([garbageServer, silentServer].map(async listener => {
+    listener.listen(0, '127.0.0.1')
+    await once(listener, 'listening')
+    return `127.0.0.1:${(listener.address() as AddressInfo).port}`
+  }))
+  assert.equal(codeOf(await call(peerKey, '127.0.0.1:1').exchange(message)), ResultCode.HostUnreachable)
+  assert.equal(codeOf(await call(peerKey, addresses[0]).exchange(message)), ResultCode.HostUnreachable)
+  const client = call(peerKey, addresses[1], 200)
+  assert.equal(codeOf(await client.exchange(message)), ResultCode.HostUnreachable)
+  silent = false
+  assert.equal(codeOf(await client.exchange(message)), undefined)
+  client.close()
+  garbageServer.close()
+  silentServer.close()
+})
+
+test('calls share one session, the cache is bounded and drops idle clients, and the server closes cleanly', async () => {
+  const peer = await startSamplePeer()
+  const relay = await startRelay(peer.address)
+  let now = 0
+  const cache = createPeerClients({ key: peerKey, timeoutMilliseconds, now: () => now, idleMilliseconds: 100, maximumClients: 2 })
+  await Array.from({ length: 20 }).reduce<Promise<unknown>>(previous => previous.then(() => cache.get(relay.address).exchange(message)), Promise.resolve())
+  assert.equal(relay.connections(), 1)
+  ;['127.0.0.1:1', '127.0.0.1:2'].forEach(address => { cache.get(address) })
+  assert.equal(cache.size(), 2)
+  now = 200
+  cache.dropIdle()
+  assert.equal(cache.size(), 0)
+  assert.equal(codeOf(await cache.get(peer.address).exchange(message)), undefined)
+  await peer.close(1_000)
+  assert.equal(peer.sessions(), 0)
+  assert.equal(codeOf(await cache.get(peer.address).exchange(message)), ResultCode.HostUnreachable)
+  cache.closeAll()
+  relay.close()
+})
--- a/peers/protocol/src/peerMessage.ts
+++ b/peers/protocol/src/peerMessage.ts
@@ -105,7 +105,7 @@
     peerAddress: guestIp === peerIp ? peerAddress.subarray(-2) : peerAddress,
     leaving: entry.leaving,
     suspected: entry.suspected,
-    suspectedMilliseconds: packCount(entry.suspectedMilliseconds ?? 0),
+    suspectedMilliseconds: packCount(entry.suspectedMilliseconds),
     bundleVersion: BigInt(entry.bundleVersion)
   })
 }
@@ -122,7 +122,7 @@
     peerAddress: unpackAddress('peer_address', wire.peerAddress, guestAddress),
     leaving: wire.leaving,
     suspected: wire.suspected,
-    suspectedMilliseconds: wire.suspected ? wire.suspectedMilliseconds : undefined,
+    suspectedMilliseconds: wire.suspected ? wire.suspectedMilliseconds : 0,
     bundleVersion: unpackCount('bundle_version', wire.bundleVersion)
   }
 }
