--- a/limits/crash-suspects/src/decideSuspectSend.ts
+++ b/limits/crash-suspects/src/decideSuspectSend.ts
@@ -63,13 +63,13 @@
     .reduce<{ server: string, weight: number } | undefined>((best, other) => best === undefined || other.weight > best.weight ? other : best, undefined)?.server
 }
 
-// Suspects of the same death get different servers. Otherwise an innocent one could be in flight on the
+// Suspects that share a death get different servers. Otherwise an innocent one could be in flight on the
 // next server that the guilty one kills. Neither times nor the status count here, because hosts learn
 // of them at different moments and would choose different servers.
 const chooseSeparateServer = (state: CrashSuspectsState, suspect: Suspect, servers: readonly string[]): string | undefined => {
-  const key = [...suspect.deaths.keys()].reduce((greatest, other) => other > greatest ? other : greatest)
+  const keys = [...suspect.deaths.keys()]
   const before = [...state.suspects.values()]
-    .filter(other => other.fingerprint < suspect.fingerprint && other.deaths.has(key))
+    .filter(other => other.fingerprint < suspect.fingerprint && keys.some(key => other.deaths.has(key)))
     .sort((first, second) => first.fingerprint < second.fingerprint ? -1 : 1)
     .slice(0, maximumSeparated)
   const taken = new Set<string>()
