Watch connections, keep the noise of the stand-in within its mean, stop sharing reports by default

Cause: p99 of 2.2 s at load 0.7. The stand-in's noise was always on and slowed servers 1.67 times on average, so the real load was 1.17. Ruled out: event loop delay of the driver (p99 20 ms), admission limits (a consequence). Change: neighbours slow a server in a fifth of the time, and the mean service time stays as set; silent connections are found; load reports are not shared with peers unless the bundle says so.

--- a/bundle/schema/src/bundle.ts
+++ b/bundle/schema/src/bundle.ts
@@ -91,7 +91,8 @@
   coreShare: z.number().min(0).max(1).default(0.018),
   /** Probes started for each request, on average. */
   probesPerRequest: z.number().min(0).max(10).default(0.5),
-  shareReportsWithPeers: z.boolean().default(true)
+  /** Off by default: in the comparison of policies its gain is within the spread of the seeds. */
+  shareReportsWithPeers: z.boolean().default(false)
 })
 
 const bundleSchema = z.strictObject({
--- a/daemon/entry-host/src/controlLoops/measureServers.ts
+++ b/daemon/entry-host/src/controlLoops/measureServers.ts
@@ -1,5 +1,6 @@
 // Measures servers on behalf of server choice, within the budget of the bundle, and lets admission drop
 // requests whose deadline passes while they wait.
+import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
 import { AdmissionEventKind } from '@siskinbeam/admission/admissionTypes'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import { sleep, type ProcessBody } from '@siskinbeam/processes/channels'
@@ -10,6 +11,7 @@
 import type { EntryHost } from '../entryHost.js'
 import { feedAdmission } from '../requestPath/admitRequest.js'
 import { feedProbing } from '../servers/observeServers.js'
+import { feedConnections } from '../servers/watchConnections.js'
 import { probeServer } from '../servers/probeServer.js'
 import type { ServiceRuntime } from '../servers/serviceRuntime.js'
 
@@ -36,6 +38,9 @@
         if (searchesIdle) idleSearchedAt = now
         const peers = listNearPeers()
         host.activeBundle()?.services.forEach(service => {
+          service.servers.forEach(server => {
+            if (server.openSends.size > 0) feedConnections(host, service, server, { kind: ConnectionEventKind.Ticked })
+          })
           if (service.admission.queue.length > 0) feedAdmission(host, service, { kind: AdmissionEventKind.Ticked })
           const idle = searchesIdle ? listIdle(service, now) : []
           if (idle.length > 0 || service.probing.collected.size > 0) feedProbing(host, service, { kind: ProbingEventKind.Tick, idle, peers })
--- a/daemon/entry-host/src/controlLoops/shareCapacity.ts
+++ b/daemon/entry-host/src/controlLoops/shareCapacity.ts
@@ -1,6 +1,6 @@
 // Divides what all entry hosts share by their number as membership sees it: the write rate of the table
 // service and the connections of each server. A wrong number costs throughput and nothing else.
-import { computeConnectionShare } from '@siskinbeam/connection-shares/computeConnectionShare'
+import { computeConnectionShare, createConnectionShareState, recordLiveHosts } from '@siskinbeam/connection-shares/computeConnectionShare'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import { sleep, type ProcessBody } from '@siskinbeam/processes/channels'
 import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
@@ -16,6 +16,7 @@
 
 /** Starts the loop. */
 export function shareCapacity ({ host, logger, countEntryHosts }: ShareCapacityOptions): { stop: () => void } {
+  const shares = createConnectionShareState(host.now())
   return superviseProcess({
     name: 'capacity',
     logger,
@@ -23,10 +24,11 @@
       while (true) {
         const active = host.activeBundle()
         const entryHosts = countEntryHosts()
+        recordLiveHosts(shares, entryHosts, host.now())
         if (active !== undefined) {
           host.claims.setRate(active.bundle.platform.tableWritesPerSecond / entryHosts)
           active.services.forEach(({ servers }) => servers.forEach(({ place, connections }) => {
-            connections.maxSockets = computeConnectionShare({ connections: place.connections, liveEntryHosts: entryHosts })
+            connections.maxSockets = computeConnectionShare({ state: shares, connections: place.connections, now: host.now() })
           }))
         }
         yield sleep(intervalMilliseconds)
--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -169,11 +169,8 @@
       const services = createServiceRuntimes({
         bundle,
         previous: active?.services ?? new Map(),
-        hostName: options.name,
-        dataCentre: options.dataCentre,
-        now,
-        random,
-        outgoingAddress: options.outgoingAddress
+        host,
+        dataCentre: options.dataCentre
       })
       active = { bundle, digest, findRoute: createRouteFinder(bundle), services }
       logger.info('bundle in force', { name: bundle.name, version: bundle.version, digest })
--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -5,7 +5,7 @@
 import { noteRequestLatency } from '@siskinbeam/hedging/decideHedge'
 import { ReportSource } from '@siskinbeam/probing/loadReport'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { ChoiceEventKind } from '@siskinbeam/server-choice/choiceState'
+import { ChoiceEventKind, CompletionKind } from '@siskinbeam/server-choice/choiceState'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { checkServerDeath } from '../servers/checkServerDeath.js'
 import { feedChoice, feedHealth, noteReport, noteShed, readSigns } from '../servers/observeServers.js'
@@ -33,10 +33,10 @@
   [AttemptEnd.Answered]: (dispatch, open, { answer }) => {
     const { exchange, host, service } = dispatch
     const { server } = open
+    host.metrics.recordMilliseconds('server_milliseconds', host.now() - open.writtenAt)
     const kept = exchange.claim === undefined ? undefined : keepAnswer(answer)
     dispatch.answered = true
     cancelOpen(dispatch)
-    noteReport(host, service, server, answer, ReportSource.Response)
     relayAnswer({
       exchange,
       answer,
@@ -45,6 +45,8 @@
       onEnd: end => {
         answerEnds[end](dispatch, open)
         if (end === AnswerEnd.Whole) {
+          // The report no longer counts this request, so it comes after its completion.
+          noteReport(host, service, server, answer, ReportSource.Response)
           feedHealth(host, service, (answer.statusCode ?? 0) >= lowestServerError
             ? { kind: HealthEventKind.Failed, server: server.place.name, signs: readSigns(answer) }
             : { kind: HealthEventKind.Responded, server: server.place.name, signs: readSigns(answer), latencyMilliseconds: host.now() - open.startedAt })
@@ -86,7 +88,7 @@
   [AnswerEnd.Whole]: ({ exchange, host, service, fingerprint }, { server, startedAt }) => {
     const latencyMilliseconds = host.now() - startedAt
     exchange.answeredWhole = true
-    feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, latencyMilliseconds })
+    feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, completion: CompletionKind.Responded, latencyMilliseconds })
     noteRequestLatency(service.hedging, latencyMilliseconds)
     host.feedCrashes({ kind: CrashEventKind.Finished, fingerprint: fingerprint() })
     host.metrics.count('answers_total')
@@ -100,12 +102,12 @@
 }
 
 function endFailed ({ host, service }: Dispatch, { server, startedAt }: OpenAttempt): void {
-  feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, latencyMilliseconds: host.now() - startedAt })
+  feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, completion: CompletionKind.Failed, latencyMilliseconds: host.now() - startedAt })
   feedHealth(host, service, { kind: HealthEventKind.Failed, server: server.place.name })
 }
 
 function noteUnreached ({ host, service }: Dispatch, { server, startedAt }: OpenAttempt, reason: string): void {
-  feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, latencyMilliseconds: host.now() - startedAt, cancelled: true })
+  feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, completion: CompletionKind.Cancelled, latencyMilliseconds: host.now() - startedAt })
   if (reason === 'ECONNREFUSED') feedHealth(host, service, { kind: HealthEventKind.ConnectionRefused, server: server.place.name })
 }
 
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -3,12 +3,14 @@
 import { recordFirstSend } from '@siskinbeam/retries/retryBudget'
 import { carriesRetriedHeader } from '@siskinbeam/retries/decideRetry'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { ChoiceEventKind } from '@siskinbeam/server-choice/choiceState'
+import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
+import { ChoiceEventKind, CompletionKind } from '@siskinbeam/server-choice/choiceState'
 import { chooseServer } from '@siskinbeam/server-choice/chooseServer'
 import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { feedChoice, feedHealth, noteSent } from '../servers/observeServers.js'
 import type { ServerRuntime } from '../servers/serviceRuntime.js'
+import { feedConnections } from '../servers/watchConnections.js'
 import { accountFor } from './accountFor.js'
 import { handleOutcome } from './attemptOutcomes.js'
 import { createDispatch, failRequest, mayHaveStarted, type Dispatch, type OpenAttempt } from './dispatchState.js'
@@ -27,6 +29,7 @@
   if (service === undefined) return
   const dispatch = createDispatch(exchange, service)
   recordFirstSend(service.retryBudget, host.now())
+  host.metrics.recordMilliseconds('before_send_milliseconds', host.now() - exchange.receivedAt)
   const deadlineTimer = setTimeout(onDeadline, Math.max(0, exchange.deadlineAt - host.now()), dispatch)
   exchange.response.on('close', () => onGuestGone(dispatch))
   exchange.onFinished.push(() => {
@@ -70,19 +73,31 @@
     maximumAttempts: service.rule.retry.maximumAttempts
   })
   const startedAt = host.now()
-  const open: OpenAttempt = { server, startedAt, writtenAt: startedAt, written: false, isHedge, fingerprint: dispatch.fingerprint, attempt: undefined as never }
+  const open: OpenAttempt = { server, startedAt, writtenAt: startedAt, written: false, isHedge, connectionId: undefined, fingerprint: dispatch.fingerprint, attempt: undefined as never }
   dispatch.open.add(open)
+  const noteConnection = (kind: ConnectionEventKind.Progressed | ConnectionEventKind.Finished, connectionId: number | undefined): void => {
+    if (connectionId !== undefined) feedConnections(host, service, server, { kind, connectionId })
+  }
   open.attempt = sendAttempt({
     exchange,
     server,
     newConnection: dispatch.isolated,
     headers: makeServerHeaders(exchange, startedAt, host.epochNow(), retried),
     maySend: () => maySend(dispatch, server),
-    onWritten: () => {
+    onProgress: connectionId => noteConnection(ConnectionEventKind.Progressed, connectionId),
+    onFinished: connectionId => noteConnection(ConnectionEventKind.Finished, connectionId),
+    onWritten: connectionId => {
       open.written = true
+      open.connectionId = connectionId
       open.writtenAt = host.now()
+      host.metrics.recordMilliseconds('connection_wait_milliseconds', open.writtenAt - open.startedAt)
       server.openSends.add(open)
       exchange.claim?.sendStarted()
+      if (connectionId !== undefined) {
+        feedConnections(host, service, server, {
+          kind: ConnectionEventKind.Sent, connectionId, deadlineAt: exchange.deadlineAt, interruptible: exchange.route?.idempotent === true
+        })
+      }
       noteSent(host, service, server)
     },
     onOutcome: outcome => {
@@ -110,7 +125,7 @@
       kind: ChoiceEventKind.Completed,
       server: open.server.place.name,
       latencyMilliseconds: host.now() - open.startedAt,
-      cancelled: true
+      completion: CompletionKind.Cancelled
     })
   })
   dispatch.open.clear()
--- a/daemon/entry-host/src/requestPath/dispatchState.ts
+++ b/daemon/entry-host/src/requestPath/dispatchState.ts
@@ -14,6 +14,7 @@
   startedAt: number
   written: boolean
   isHedge: boolean
+  connectionId: number | undefined
 }
 
 /** The state of a dispatch. */
--- a/daemon/entry-host/src/requestPath/sendAttempt.ts
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -32,14 +32,18 @@
   /** Asked right before the first byte is written; false gives up the send. */
   maySend: () => boolean
   onOutcome: (outcome: AttemptOutcome) => void
-  onWritten?: () => void
+  /** The connection is open and the first byte goes out next. `connectionId` is absent for a connection of its own. */
+  onWritten: (connectionId: number | undefined) => void
+  /** A byte of the answer came in. */
+  onProgress: (connectionId: number | undefined) => void
+  /** The answer is complete, whatever it says. */
+  onFinished: (connectionId: number | undefined) => void
 }
 
 /** A send in progress. */
 export interface Attempt {
   /** Closes the connection, which cancels the request at the server. */
   cancel: () => void
-  openedAt: () => number | undefined
 }
 
 /** Sends the request once. `onOutcome` is called exactly once unless the attempt is cancelled. */
@@ -47,7 +51,7 @@
   const { exchange, server, onOutcome } = options
   let written = false
   let settled = false
-  let openedAt: number | undefined
+  let connectionId: number | undefined
   const settle = (outcome: AttemptOutcome): void => {
     if (settled) return
     settled = true
@@ -69,16 +73,22 @@
       return
     }
     written = true
-    options.onWritten?.()
+    options.onWritten(connectionId)
     if (exchange.body === null) exchange.request.pipe(outgoing)
     else outgoing.end(exchange.body)
   }
   outgoing.on('socket', (socket: Socket) => {
-    openedAt = server.connections.noteSocket(socket).openedAt
-    if (socket.connecting) socket.once('connect', write)
-    else write()
+    const start = (): void => {
+      if (!options.newConnection) connectionId = server.connections.identify(socket)
+      write()
+    }
+    if (socket.connecting) socket.once('connect', start)
+    else start()
   })
   outgoing.on('response', answer => {
+    options.onProgress(connectionId)
+    answer.on('data', () => options.onProgress(connectionId))
+    answer.on('end', () => options.onFinished(connectionId))
     const echoed = answer.headers['siskinbeam-request-id']
     if (echoed !== undefined && echoed !== exchange.requestId) {
       outgoing.destroy()
@@ -112,7 +122,6 @@
       settled = true
       outgoing.on('error', () => {})
       outgoing.destroy()
-    },
-    openedAt: () => openedAt
+    }
   }
 }
--- a/daemon/entry-host/src/servers/createServiceRuntimes.ts
+++ b/daemon/entry-host/src/servers/createServiceRuntimes.ts
@@ -11,17 +11,18 @@
 import { stepServerHealth } from '@siskinbeam/server-health/stepServerHealth'
 import { splitAddress } from '@siskinbeam/settings/settingChecks'
 import { chooseSubset } from '@siskinbeam/subsets/chooseSubset'
+import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
+import { createConnectionHealthState } from '@siskinbeam/connection-shares/stepConnectionHealth'
+import type { EntryHost } from '../entryHost.js'
 import { ServerConnections } from './serverConnections.js'
 import type { ServerRuntime, ServiceRuntime } from './serviceRuntime.js'
+import { feedConnections } from './watchConnections.js'
 
 export interface CreateServiceRuntimesOptions {
   bundle: Bundle
   previous: Map<string, ServiceRuntime>
-  hostName: string
+  host: EntryHost
   dataCentre: string
-  now: () => number
-  random: () => number
-  outgoingAddress: string | undefined
 }
 
 /** A host whose round trip to a data centre is not stated counts as this far. */
@@ -35,20 +36,21 @@
 }
 
 function createServiceRuntime (options: CreateServiceRuntimesOptions, rule: ServiceRule): ServiceRuntime {
-  const { bundle, now, random } = options
+  const { bundle, host: { now, random } } = options
   const before = options.previous.get(rule.name)
   const roundTrips = bundle.dataCentres.find(({ name }) => name === options.dataCentre)?.roundTripMilliseconds ?? {}
   const places = chooseSubset({
-    hostSeed: options.hostName,
+    hostSeed: options.host.name,
     servers: rule.servers,
     size: rule.subsetSize,
     readRoundTripMilliseconds: dataCentre => dataCentre === options.dataCentre ? 0 : roundTrips[dataCentre] ?? assumedRoundTripMilliseconds
   })
   const servers = new Map(places.map((place): [string, ServerRuntime] => {
     const known = before?.servers.get(place.name)
-    return [place.name, known?.place.address === place.address ? Object.assign(known, { place }) : createServer(options, place)]
+    return [place.name, known?.place.address === place.address ? Object.assign(known, { place }) : createServer(options.host, place, () => runtime)]
   }))
   const slots = places.reduce((sum, place) => sum + place.slots, 0)
+  // Events of connections come only after the runtime exists.
   const runtime: ServiceRuntime = {
     rule,
     servers,
@@ -79,14 +81,21 @@
   return runtime
 }
 
-function createServer ({ now, outgoingAddress }: CreateServiceRuntimesOptions, place: ServerPlace): ServerRuntime {
-  return {
+function createServer (host: EntryHost, place: ServerPlace, service: () => ServiceRuntime): ServerRuntime {
+  const server: ServerRuntime = {
     place,
     ...splitAddress(place.address),
-    connections: new ServerConnections({ now, maximumConnections: place.connections, outgoingAddress }),
+    connections: new ServerConnections({
+      maximumConnections: place.connections,
+      outgoingAddress: host.outgoingAddress,
+      onOpened: connectionId => feedConnections(host, service(), server, { kind: ConnectionEventKind.Opened, connectionId }),
+      onClosed: connectionId => feedConnections(host, service(), server, { kind: ConnectionEventKind.Closed, connectionId })
+    }),
+    connectionHealth: createConnectionHealthState(),
     boot: '',
     openSends: new Set(),
     brokenSends: [],
     deathCheck: undefined
   }
+  return server
 }
--- a/daemon/entry-host/src/servers/probeServer.ts
+++ b/daemon/entry-host/src/servers/probeServer.ts
@@ -31,7 +31,7 @@
       timeout: probeTimeoutMilliseconds,
       ...(host.outgoingAddress === undefined ? {} : { localAddress: host.outgoingAddress })
     })
-    outgoing.on('socket', socket => { if (!newConnection) server.connections.noteSocket(socket) })
+    outgoing.on('socket', socket => { if (!newConnection) server.connections.identify(socket) })
     outgoing.on('response', answer => {
       answer.on('error', () => {})
       answer.resume()
--- a/daemon/entry-host/src/servers/serverConnections.ts
+++ b/daemon/entry-host/src/servers/serverConnections.ts
@@ -1,91 +1,81 @@
 // Connections to one server: a keep-alive agent that never hands out a connection whose last exchange
 // did not end cleanly, or that received bytes while nothing was asked of it.
-import { Agent, type AgentOptions, type ClientRequest } from 'node:http'
+import { Agent, type ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 
 const idleMilliseconds = 30_000
 
-/** What the agent knows of a socket. */
-export interface ConnectionFacts {
-  openedAt: number
-  lastByteAt: number
-  poisoned: boolean
-}
-
-export interface ServerConnectionsOptions extends AgentOptions {
-  now: () => number
+export interface ServerConnectionsOptions {
   maximumConnections: number
   outgoingAddress: string | undefined
+  onOpened: (connectionId: number) => void
+  onClosed: (connectionId: number) => void
 }
 
 /** The keep-alive agent of one server. */
 export class ServerConnections extends Agent {
-  private readonly facts = new WeakMap<Socket, ConnectionFacts>()
-  private readonly now: () => number
-  /** Idle connections opened no later than this are closed before they carry a request. */
-  private suspectUntil = -Infinity
+  private readonly connectionOptions: ServerConnectionsOptions
+  private readonly ids = new WeakMap<Duplex, number>()
+  private readonly socketsById = new Map<number, Socket>()
+  private readonly idleListeners = new WeakMap<Duplex, () => void>()
+  private lastId = 0
 
-  constructor ({ now, maximumConnections, outgoingAddress, ...options }: ServerConnectionsOptions) {
+  constructor (options: ServerConnectionsOptions) {
     super({
       keepAlive: true,
-      maxSockets: maximumConnections,
-      maxFreeSockets: maximumConnections,
+      maxSockets: options.maximumConnections,
+      maxFreeSockets: options.maximumConnections,
       scheduling: 'lifo',
-      timeout: 0,
-      ...(outgoingAddress === undefined ? {} : { localAddress: outgoingAddress }),
-      ...options
+      ...(options.outgoingAddress === undefined ? {} : { localAddress: options.outgoingAddress })
     })
-    this.now = now
+    this.connectionOptions = options
   }
 
-  /** Remembers when a connection was opened. */
-  noteSocket (socket: Socket): ConnectionFacts {
-    const known = this.facts.get(socket)
+  /** Gives the id of a connection, a new one for a connection that was not seen before. */
+  identify (socket: Socket): number {
+    const known = this.ids.get(socket)
     if (known !== undefined) return known
-    const created = { openedAt: this.now(), lastByteAt: this.now(), poisoned: false }
-    this.facts.set(socket, created)
+    this.lastId += 1
+    const connectionId = this.lastId
+    this.ids.set(socket, connectionId)
+    this.socketsById.set(connectionId, socket)
     socket.setNoDelay(true)
-    return created
+    socket.once('close', () => {
+      this.socketsById.delete(connectionId)
+      this.connectionOptions.onClosed(connectionId)
+    })
+    this.connectionOptions.onOpened(connectionId)
+    return connectionId
   }
 
-  /** Bars the connection from further use. */
-  poison (socket: Socket): void {
-    this.noteSocket(socket).poisoned = true
+  /** Closes a connection, whatever it carries. */
+  closeConnection (connectionId: number): void {
+    this.socketsById.get(connectionId)?.destroy()
   }
 
   /** Closes all idle connections. */
   closeIdle (): void {
-    this.suspectOpenedUntil(this.now())
-  }
-
-  /** Closes idle connections that were opened no later than a silent one. */
-  suspectOpenedUntil (openedAt: number): void {
-    this.suspectUntil = Math.max(this.suspectUntil, openedAt)
-    Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])
-      .filter(socket => this.noteSocket(socket).openedAt <= this.suspectUntil)
-      .forEach(socket => socket.destroy())
+    Object.values(this.freeSockets).flatMap(sockets => sockets ?? []).forEach(socket => socket.destroy())
   }
 
   // Bytes that arrive on an idle connection belong to no request. The next request would take them for
   // its answer, so the connection is closed at the first of them.
-  override keepSocketAlive (socket: Socket): boolean {
-    const facts = this.noteSocket(socket)
-    if (facts.poisoned || facts.openedAt <= this.suspectUntil || socket.readableLength > 0 || socket.writableLength > 0) return false
+  override keepSocketAlive (socket: Duplex): boolean {
+    if (socket.readableLength > 0 || socket.writableLength > 0) return false
     const destroySocket = (): void => { socket.destroy() }
     socket.on('data', destroySocket)
-    socket.setTimeout(idleMilliseconds, destroySocket)
+    ;(socket as Socket).setTimeout(idleMilliseconds, destroySocket)
     this.idleListeners.set(socket, destroySocket)
+    // The published types lack the result of this hook.
     return super.keepSocketAlive(socket) as unknown as boolean
   }
 
-  private readonly idleListeners = new WeakMap<Duplex, () => void>()
-
-  override reuseSocket (socket: Socket, request: ClientRequest): void {
+  override reuseSocket (socket: Duplex, request: ClientRequest): void {
     const destroySocket = this.idleListeners.get(socket)
     if (destroySocket !== undefined) {
       socket.removeListener('data', destroySocket)
-      socket.setTimeout(0, destroySocket)
+      ;(socket as Socket).setTimeout(0)
       socket.removeListener('timeout', destroySocket)
     }
     super.reuseSocket(socket, request)
--- a/daemon/entry-host/src/servers/serviceRuntime.ts
+++ b/daemon/entry-host/src/servers/serviceRuntime.ts
@@ -1,5 +1,6 @@
 // What an entry host keeps of one service while a bundle is in force: its rule, its servers, and the
 // states of the decision modules that concern it.
+import type { ConnectionHealthState } from '@siskinbeam/connection-shares/connectionTypes'
 import type { AdmissionState } from '@siskinbeam/admission/stepAdmission'
 import type { HedgingState } from '@siskinbeam/hedging/decideHedge'
 import type { ProbingState } from '@siskinbeam/probing/stepProbing'
@@ -21,6 +22,7 @@
   host: string
   port: number
   connections: ServerConnections
+  connectionHealth: ConnectionHealthState
   /** The boot that the server last stated. */
   boot: string
   openSends: Set<OpenSend>
--- a/peers/protocol/test/peerMessage.test.ts
+++ b/peers/protocol/test/peerMessage.test.ts
@@ -26,10 +26,17 @@
   suspected: fastCheck.constant(true),
   suspectedMilliseconds: count
 }, plain)
+const death = fastCheck.record({ server: fastCheck.string({ maxLength: 63 }), boot: fastCheck.uuid(), agoMilliseconds: count }, plain)
+const suspect = fastCheck.record({
+  fingerprint: hexadecimal(32),
+  deaths: fastCheck.array(fastCheck.record({ server: fastCheck.string({ maxLength: 63 }), boot: fastCheck.uuid(), agoMilliseconds: count, requestAgeMilliseconds: count }, plain), { maxLength: 3 }),
+  clearedDeaths: fastCheck.array(fastCheck.string({ maxLength: 100 }), { maxLength: 3 }),
+  succeededBefore: fastCheck.boolean()
+}, plain)
 const message: fastCheck.Arbitrary<PeerMessage> = fastCheck.record({
   heartbeat: fastCheck.record({ sender: entry, members: fastCheck.array(entry, { maxLength: 7 }), membersFrom: fastCheck.option(count, { nil: undefined }) }, plain),
   bundleDigestPrefix: fastCheck.oneof(fastCheck.constant(''), hexadecimal(8)),
-  crashFingerprints: fastCheck.array(fastCheck.record({ fingerprint: hexadecimal(16), crashes: count, ageMilliseconds: count }, plain), { maxLength: 32 }),
+  crashReport: fastCheck.record({ suspects: fastCheck.array(suspect, { maxLength: 4 }), serverDeaths: fastCheck.array(death, { maxLength: 4 }) }, plain),
   loadReports: fastCheck.array(fastCheck.record({ serverId: hexadecimal(8), inFlight: count, queued: count, latencyMilliseconds: fastCheck.integer({ min: 0, max: 4_000_000 }), ageMilliseconds: count }, plain), { maxLength: 32 })
 }, plain)
 
--- a/stand-ins/server/src/serveServer.ts
+++ b/stand-ins/server/src/serveServer.ts
@@ -43,7 +43,10 @@
 const longestRunLog = 200_000
 const longestProbeLog = 100_000
 const coldStartFactor = 3
+const shortestNoiseMilliseconds = 20
 const longestNoiseMilliseconds = 200
+/** Share of the time in which neighbours slow the server. */
+const noisyShare = 0.2
 const latencyWeight = 0.1
 
 /** Starts the stand-in on its two addresses. */
@@ -72,10 +75,14 @@
     probes.set(source, times)
   }
 
+  // Keeps the mean service time, and with it the capacity, at what the settings say.
+  const meanNoise = 1 + noisyShare * (options.noiseFactor - 1) / 2
+
   const drawServiceTime = (): number => {
     const now = Date.now()
     if (options.noiseFactor > 1 && now > noise.until) {
-      noise = { factor: 1 + random() ** 2 * (options.noiseFactor - 1), until: now + 20 + random() * (longestNoiseMilliseconds - 20) }
+      const slowdown = random() < noisyShare ? random() * (options.noiseFactor - 1) : 0
+      noise = { factor: (1 + slowdown) / meanNoise, until: now + shortestNoiseMilliseconds + random() * (longestNoiseMilliseconds - shortestNoiseMilliseconds) }
     }
     const cold = now - startedAt < options.coldStartSeconds * 1_000 ? coldStartFactor : 1
     return drawLognormal(random, options.serviceMilliseconds, options.serviceSigma) * noise.factor * cold * faults.slowFactor
