--- a/routing/policy-comparison/src/simulatedHost.ts
+++ b/routing/policy-comparison/src/simulatedHost.ts
@@ -7,7 +7,7 @@
 import { chooseServer } from '@siskinbeam/server-choice/chooseServer'
 import { ChoiceEventKind, CompletionKind, createServerChoiceState, type ChoiceEvent } from '@siskinbeam/server-choice/choiceState'
 import { stepServerChoice } from '@siskinbeam/server-choice/stepServerChoice'
-import { createServerHealthState, HealthEventKind, type HealthEvent } from '@siskinbeam/server-health/healthState'
+import { createServerHealthState, HealthCommandKind, HealthEventKind, type HealthEvent } from '@siskinbeam/server-health/healthState'
 import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
 import { stepServerHealth } from '@siskinbeam/server-health/stepServerHealth'
 import type { VirtualTime } from './eventQueue.js'
@@ -80,7 +80,7 @@
 
   const stepChoice = (event: ChoiceEvent): void => stepServerChoice({ state: choice, event, now: time.now })
   const stepHealth = (event: HealthEvent): void => {
-    if (variant.ejection) counts.ejections += stepServerHealth({ state: health, event, now: time.now }).filter(({ kind }) => kind === 'eject').length
+    if (variant.ejection) counts.ejections += stepServerHealth({ state: health, event, now: time.now }).filter(({ kind }) => kind === HealthCommandKind.Eject).length
   }
   const readWeight = (server: string): number => variant.ejection ? readServerWeight(health, server, time.now) : 1
   const readExactLoad = (server: string): number => (assigned.get(server) ?? 0) / (servers.get(server)?.slots ?? 1)
