--- a/limits/admission/test/stepAdmission.test.ts
+++ b/limits/admission/test/stepAdmission.test.ts
@@ -12,7 +12,8 @@
 const [overloadStart, overloadEnd, end] = [1_000, 6_000, 10_000]
 const readQuantile = (values: number[], share: number): number => [...values].sort((first, second) => first - second)[Math.floor(values.length * share)] as number
 
-;[[1, 3], [2, 2]].forEach(([seed = 0, serverQueue = 0]) => {
+// With a queue of 1,000 the servers never shed, and only the latency tells of the overload.
+;[[1, 3, 4], [2, 2, 4], [3, 1_000, 1.5]].forEach(([seed = 0, serverQueue = 0, refusalRatio = 0]) => {
   test(`at 1.5 times capacity goodput is at least 90 %, by class, and latency is normal 2 s later (server queue ${serverQueue})`, () => {
     const run = runOverload(seed, serverQueue, end, now => now >= overloadStart && now < overloadEnd ? 1.5 : 0.7)
     const select = (from: number, to: number): Answered[] => run.answered.filter(({ arrivedAt }) => arrivedAt >= from && arrivedAt < to)
@@ -23,7 +24,7 @@
     const [important, other] = run.refused as [number, number]
     console.log(`seed=${seed} serverQueue=${serverQueue} goodput=${goodput.toFixed(3)} refused=${important},${other} of ${run.offered.join(',')} shedShare=${(run.sheds / run.sends).toFixed(3)} p99Before=${before.toFixed(1)} p99After=${after.toFixed(1)} steps=${run.steps}`)
     assert.ok(goodput >= 0.9, `goodput ${goodput}`)
-    assert.ok(important * 4 < other, `refused ${important} of class 0, ${other} of class 1`)
+    assert.ok(important * refusalRatio < other, `refused ${important} of class 0, ${other} of class 1`)
     assert.ok(after <= before * 1.2, `p99 ${after} ms after, ${before} ms before`)
   })
 })
