Relay reports of crashes, and hold failure answers until peers have them

Ruled out: announcing to all peers again on receipt (20 times the messages). Change: each host passes on what is new to it to 3 peers; answers are held for up to 100 ms and suspects for 150 ms. Conclusion: the bound needs announcements that arrive before the caller's next resend.

--- a/limits/crash-suspects/src/crashTypes.ts
+++ b/limits/crash-suspects/src/crashTypes.ts
@@ -80,11 +80,11 @@
 
 export type CrashCommand =
   /**
-   * Send the report to all live peers at once. Failure answers to requests that were in flight on the
-   * server wait until the peers have it, at most `holdAnswersMilliseconds`: a caller that hears of the
-   * failure sooner resends through hosts that know nothing of it.
+   * Send the report at once to `peers` random live peers. Failure answers to requests that were in
+   * flight on the server wait until those peers have it, at most `holdAnswersMilliseconds`: a caller that
+   * hears of the failure sooner resends through hosts that know nothing of it.
    */
-  | { kind: CrashCommandKind.Announce, report: CrashReport, holdAnswersMilliseconds: number }
+  | { kind: CrashCommandKind.Announce, report: CrashReport, peers: number, holdAnswersMilliseconds: number }
   /** For the log. */
   | { kind: CrashCommandKind.Blamed, fingerprint: string, servers: string[] }
   | { kind: CrashCommandKind.Cleared, fingerprint: string }
--- a/limits/crash-suspects/src/decideSuspectSend.ts
+++ b/limits/crash-suspects/src/decideSuspectSend.ts
@@ -29,8 +29,8 @@
   now: number
 }
 
-/** An announcement takes a few milliseconds; the rest covers a peer that is slow to read it. */
-const holdMilliseconds = 100
+/** An announcement takes a few milliseconds; the rest covers peers that are slow to read it. */
+const holdMilliseconds = 150
 /** While several servers die within two seconds, the next to die may be the one chosen for a suspect. */
 const burstHoldMilliseconds = 300
 const burstDeaths = 3
--- a/limits/crash-suspects/src/stepCrashSuspects.ts
+++ b/limits/crash-suspects/src/stepCrashSuspects.ts
@@ -14,7 +14,11 @@
 const maximumServerDeaths = 256
 const maximumSuccesses = 4_096
 const recentSuccessMilliseconds = 10_000
-const holdAnswersMilliseconds = 50
+const holdAnswersMilliseconds = 100
+/** All entry hosts of today's users. */
+const announcedPeers = 30
+/** What a host hears for the first time it passes on, so that a lost announcement leaves no host uninformed. */
+const relayedPeers = 3
 /** A request that was in flight much longer than on a server that died was harmless there. */
 const survivalFactor = 2
 const survivalMarginMilliseconds = 1_000
@@ -112,7 +116,8 @@
     return suspect
   })
   if (state.changes === changesBefore) return []
-  return [...assessAll(state), { kind: CrashCommandKind.Announce, report: createReport(state, [...new Set(suspects)], now), holdAnswersMilliseconds }]
+  const report = createReport(state, [...new Set(suspects)], now)
+  return [...assessAll(state), { kind: CrashCommandKind.Announce, report, peers: announcedPeers, holdAnswersMilliseconds }]
 }
 
 const takeSuccess: Step<CrashEventKind.Finished> = ({ state, event: { fingerprint }, now }) => {
@@ -146,7 +151,9 @@
     .filter(isKept(now))
     .forEach(death => addServerDeath(state, death))
   report.suspects.forEach(suspect => mergeSuspect(state, suspect, now))
-  return state.changes === changesBefore ? [] : assessAll(state)
+  if (state.changes === changesBefore) return []
+  const suspects = report.suspects.flatMap(({ fingerprint }) => state.suspects.get(fingerprint) ?? [])
+  return [...assessAll(state), { kind: CrashCommandKind.Announce, report: createReport(state, suspects, now), peers: relayedPeers, holdAnswersMilliseconds: 0 }]
 }
 
 const expire: Step<CrashEventKind.Ticked> = ({ state, now }) => {
