Check the history of bench runs against runs and claims

Cause: the bench counted doubled runs by itself and knew no claims. Ruled out: a second checker. Change: sends of guests, run logs and the log of the table service go to claims/history-checker.

--- a/bench/bench/src/cluster/startCluster.ts
+++ b/bench/bench/src/cluster/startCluster.ts
@@ -49,6 +49,8 @@
   restartServer: (server: RunningServerProcess) => Promise<void>
   restartDeadServers: () => Promise<void>
   listServer: (server: RunningServerProcess, state: 'live' | 'leaving') => Promise<void>
+  /** Guests' addresses of entry hosts that the run stopped or froze. */
+  disturbedAddresses: Set<string>
   /** Starts one more entry host in place of one that was stopped. */
   startEntryHost: (position: number) => Promise<RunningEntryProcess>
   stop: () => Promise<void>
@@ -152,6 +154,7 @@
     directory,
     runLog,
     policy,
+    disturbedAddresses: new Set(),
     restartServer: async server => {
       if (!server.process.running()) server.process = await startServer(server.planned)
     },
--- a/bench/bench/src/faults/injectFaults.ts
+++ b/bench/bench/src/faults/injectFaults.ts
@@ -3,7 +3,7 @@
 import { crashingPathMark } from '@siskinbeam/stand-in-server/serveServer'
 import { pickIndex, sample, type Random } from '@siskinbeam/random/createRandom'
 import { callControl } from '../cluster/callControl.js'
-import type { Cluster, RunningServerProcess } from '../cluster/startCluster.js'
+import type { Cluster, RunningEntryProcess, RunningServerProcess } from '../cluster/startCluster.js'
 import type { GuestRequest } from '../load/invocation.js'
 import { makeGuestRequest } from '../load/driveLoad.js'
 import { readClock } from '../load/sendAsGuest.js'
@@ -30,6 +30,13 @@
 const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds))
 const pickServer = ({ cluster, random }: FaultContext): RunningServerProcess => cluster.servers[pickIndex(random, cluster.servers.length)] as RunningServerProcess
 
+function freeze (cluster: Cluster, entryHosts: RunningEntryProcess[], servers: RunningServerProcess[]): EndFault {
+  const processes = [...entryHosts, ...servers].map(({ process }) => process)
+  entryHosts.forEach(({ planned }) => cluster.disturbedAddresses.add(planned.guestAddress))
+  processes.forEach(({ kill }) => kill('SIGSTOP'))
+  return async () => processes.forEach(({ kill }) => kill('SIGCONT'))
+}
+
 const starts: Record<Exclude<FaultName, FaultName.All>, StartFault> = {
   [FaultName.None]: async () => async () => {},
   [FaultName.Straggler]: async ({ cluster, random }) => {
@@ -69,21 +76,18 @@
     return async () => {}
   },
   [FaultName.Freeze]: async ({ cluster, random }) => {
-    const frozen = [cluster.entryHosts[pickIndex(random, cluster.entryHosts.length)]?.process, cluster.servers[pickIndex(random, cluster.servers.length)]?.process]
-    frozen.forEach(found => found?.kill('SIGSTOP'))
-    return async () => frozen.forEach(found => found?.kill('SIGCONT'))
+    const entryHost = cluster.entryHosts[pickIndex(random, cluster.entryHosts.length)] as RunningEntryProcess
+    const server = cluster.servers[pickIndex(random, cluster.servers.length)] as RunningServerProcess
+    return freeze(cluster, [entryHost], [server])
   },
   // Nothing on one machine can cut a network without isolation tools, so the processes of the data
   // centre are stopped: to all others they are silent in the same way.
   [FaultName.Cut]: async ({ cluster, random }) => {
     const { dataCentres } = cluster.workload
     const dataCentre = dataCentres[pickIndex(random, dataCentres.length)]
-    const cut = [
-      ...cluster.entryHosts.filter(({ planned }) => planned.dataCentre === dataCentre),
-      ...cluster.servers.filter(({ planned }) => planned.dataCentre === dataCentre)
-    ]
-    cut.forEach(({ process }) => process.kill('SIGSTOP'))
-    return async () => cut.forEach(({ process }) => process.kill('SIGCONT'))
+    const entryHosts = cluster.entryHosts.filter(({ planned }) => planned.dataCentre === dataCentre)
+    const servers = cluster.servers.filter(({ planned }) => planned.dataCentre === dataCentre)
+    return freeze(cluster, entryHosts, servers)
   },
   [FaultName.StoreOutage]: async ({ cluster: { plan } }) => {
     const set = (outage: boolean): Promise<unknown> => Promise.all([plan.tableControl, plan.objectStoreControl].map(address => callControl(address, 'POST', '/control', { outage })))
--- a/bench/bench/src/load/createGuests.ts
+++ b/bench/bench/src/load/createGuests.ts
@@ -3,7 +3,7 @@
 import { Agent, request as sendRequest } from 'node:http'
 import { createRandom, pickIndex, type Random } from '@siskinbeam/random/createRandom'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { SendEnd, type GuestRequest, type GuestSend } from './invocation.js'
+import { isWithoutAccount, SendEnd, type GuestRequest, type GuestSend } from './invocation.js'
 import { readClock, sendAsGuest } from './sendAsGuest.js'
 
 const mostSends = 6
@@ -86,7 +86,7 @@
       const avoided = new Set<string>()
       await repeatUntilFinal(request, async attempt => {
         const send = await sendOnce(request, addressFor(group, avoided), attempt, agent)
-        if (send.end === SendEnd.Broken || send.code === ResultCode.HostLeaving) {
+        if (isWithoutAccount(send.end) || send.code === ResultCode.HostLeaving) {
           avoided.add(send.address)
           group.expiresAt = 0
         }
@@ -116,7 +116,7 @@
 
 function isFinal (request: GuestRequest, send: GuestSend): boolean {
   if (send.end === SendEnd.Answered) return true
-  if (send.end === SendEnd.Broken) return !request.kind.idempotent && request.key === undefined
+  if (isWithoutAccount(send.end)) return !request.kind.idempotent && request.key === undefined
   if (finalCodes.has(send.code)) return true
   if (send.outcome === Outcome.Unknown) return !request.kind.idempotent && request.key === undefined
   return send.outcome === Outcome.Run
--- a/bench/bench/src/load/invocation.ts
+++ b/bench/bench/src/load/invocation.ts
@@ -7,7 +7,9 @@
   Answered = 'answered',
   /** The entry host gave an account. */
   Account = 'account',
-  /** The connection broke before a whole answer; the guest knows nothing. */
+  /** The connection broke within an answer. */
+  Truncated = 'truncated',
+  /** The connection broke, or stayed silent, before an answer. */
   Broken = 'broken'
 }
 
@@ -62,6 +64,11 @@
   const last = sends.filter(({ end }) => end === SendEnd.Account).at(-1)
   if (last === undefined) return FinalEnd.LostWithoutAccount
   // Without a key, nothing links a send that broke to the account of a later one.
-  if (!kind.idempotent && key === undefined && sends.some(({ end }) => end === SendEnd.Broken)) return FinalEnd.Unknown
+  if (!kind.idempotent && key === undefined && sends.some(({ end }) => isWithoutAccount(end))) return FinalEnd.Unknown
   return finalByOutcome[last.outcome ?? Outcome.Unknown]
 }
+
+/** Whether a send ended without an answer and without an account. */
+export function isWithoutAccount (end: SendEnd): boolean {
+  return end === SendEnd.Broken || end === SendEnd.Truncated
+}
--- a/bench/bench/src/load/sendAsGuest.ts
+++ b/bench/bench/src/load/sendAsGuest.ts
@@ -56,9 +56,9 @@
 function readAnswer (answer: IncomingMessage, end: (outcome: Partial<GuestSend> & { end: SendEnd }) => void): void {
   const chunks: Buffer[] = []
   answer.on('data', (chunk: Buffer) => chunks.push(chunk))
-  answer.on('error', () => end({ end: SendEnd.Broken }))
+  answer.on('error', () => end({ end: SendEnd.Truncated }))
   answer.on('end', () => {
-    if (!answer.complete) return end({ end: SendEnd.Broken })
+    if (!answer.complete) return end({ end: SendEnd.Truncated })
     const account = accountPattern.exec(String(answer.headers['siskinbeam-account'] ?? ''))
     if (account !== null) return end({ end: SendEnd.Account, code: Number(account[1]), outcome: account[2] as Outcome })
     const body = parseBody(Buffer.concat(chunks).toString())
--- a/bench/bench/src/record.ts
+++ b/bench/bench/src/record.ts
@@ -19,7 +19,7 @@
   lostWithoutAccount: number
   ranTwice: number
   wrongAnswer: number
-  /** Requests whose account contradicts the run log, by kind. */
+  /** Breaches that the history checker found, by kind. */
   findings: Record<string, number>
   p50Ms: number
   p99Ms: number
--- a/bench/bench/src/runExperiment.ts
+++ b/bench/bench/src/runExperiment.ts
@@ -50,7 +50,7 @@
     const drive = (forSeconds: number, loadAt: (at: number) => number, extraRequests: () => GuestRequest[]): Promise<LoadResult> => driveLoad({
       workload, guests, seed, seconds: forSeconds, loadAt, extraRequests, directShare, serverAddresses
     })
-    await drive(warmupSeconds, () => Math.min(load, 0.5), () => [])
+    const warmup = await drive(warmupSeconds, () => Math.min(load, 0.5), () => [])
     const random = createRandom(seed * 7 + 1)
     let loadFactor = 1
     const extra: GuestRequest[] = []
@@ -67,7 +67,7 @@
       await faults
     })
     guests.close()
-    return await summarizeRun({ options, cluster, result, idle, loaded, before })
+    return await summarizeRun({ options, cluster, result, warmup: warmup.requests, idle, loaded, before })
   } finally {
     await cluster.stop()
   }
--- a/bench/bench/src/summarizeRun.ts
+++ b/bench/bench/src/summarizeRun.ts
@@ -6,7 +6,8 @@
 import type { Cluster } from './cluster/startCluster.js'
 import type { LoadResult } from './load/driveLoad.js'
 import { classifyRequest, FinalEnd, SendEnd, type GuestRequest } from './load/invocation.js'
-import { checkRunHistory } from './checkRunHistory.js'
+import { FindingKind } from '@siskinbeam/history-checker/historyTypes'
+import { checkRunHistory, readCommittedClaims } from './checkRunHistory.js'
 import type { RunRecord } from './record.js'
 import { readAllMetrics, type ProcessSample, type RunExperimentOptions } from './runExperiment.js'
 
@@ -14,21 +15,26 @@
   options: RunExperimentOptions
   cluster: Cluster
   result: LoadResult
+  /** Requests before the measured load; their runs are in the logs too. */
+  warmup: GuestRequest[]
   idle: ProcessSample
   loaded: ProcessSample
   /** Metrics of all entry hosts before the measured load. */
   before: Map<string, number>
 }
 
+const mostFindingsPrinted = 10
 const windowMilliseconds = 1_000
 const probesPerSecondBudget = 200
 const goodputDeadlineMilliseconds = 2_000
 
 /** Computes the record. */
-export async function summarizeRun ({ options, cluster, result, idle, loaded, before }: SummarizeRunOptions): Promise<RunRecord> {
+export async function summarizeRun ({ options, cluster, result, warmup, idle, loaded, before }: SummarizeRunOptions): Promise<RunRecord> {
   const { requests, direct } = result
-  const runs = readRunLog(cluster.runLog)
-  const history = checkRunHistory(requests, runs)
+  const directIds = new Set(direct.flatMap(({ sends }) => sends.map(({ requestId }) => requestId)))
+  const runs = readRunLog(cluster.runLog).filter(({ requestId }) => !directIds.has(requestId))
+  const history = checkRunHistory({ requests: [...warmup, ...requests], runs, claims: await readCommittedClaims(cluster.plan.tableControl), disturbedAddresses: cluster.disturbedAddresses })
+  history.findings.slice(0, mostFindingsPrinted).forEach(finding => process.stderr.write(`finding ${JSON.stringify(finding)}\n`))
   const after = await readAllMetrics(cluster)
   const grown = (name: string): number => (after.get(name) ?? 0) - (before.get(name) ?? 0)
   const answered = requests.filter(request => classifyRequest(request) === FinalEnd.Answered)
@@ -50,9 +56,9 @@
     refusedNotRun: count(FinalEnd.RefusedNotRun),
     unknownOutcome: count(FinalEnd.Unknown),
     lostWithoutAccount: count(FinalEnd.LostWithoutAccount),
-    ranTwice: history.ranTwice,
-    wrongAnswer: history.wrongAnswer,
-    findings: history.findings,
+    ranTwice: history.counts[FindingKind.RanTwice],
+    wrongAnswer: history.counts[FindingKind.WrongAnswer],
+    findings: history.counts,
     p50Ms: readPercentile(latencies, 50),
     p99Ms: readPercentile(latencies, 99),
     p999Ms: readPercentile(latencies, 99.9),
--- a/claims/history-checker/src/checkHistory.ts
+++ b/claims/history-checker/src/checkHistory.ts
@@ -19,7 +19,8 @@
 // - Ran without claim: a run of a keyed non-idempotent request without a `Claimed` row for its key.
 // - Settled without run: a `Settled` row for a key that no server ran.
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { ClaimRowState, FindingKind, InvocationEnd, type Finding, type History, type Invocation, type Run } from './historyTypes.js'
+import { ClaimRowState } from '@siskinbeam/request-claims/claimRow'
+import { FindingKind, InvocationEnd, type Finding, type History, type Invocation, type Run } from './historyTypes.js'
 
 interface Index {
   invocations: Map<string, Invocation>
--- a/claims/history-checker/src/historyTypes.ts
+++ b/claims/history-checker/src/historyTypes.ts
@@ -1,5 +1,6 @@
 // What guests, servers and the table service recorded during a run, and what can be wrong with it.
 // All times are epoch milliseconds of one machine.
+import type { ClaimRowState } from '@siskinbeam/request-claims/claimRow'
 import type { Outcome } from '@siskinbeam/result-codes/resultCode'
 
 /** How an invocation ended for its guest. */
@@ -43,14 +44,6 @@
   finishedAt: number | null
 }
 
-/** States of a claim row, as in the design page. */
-export enum ClaimRowState {
-  Claimed = 'Claimed',
-  Released = 'Released',
-  Settled = 'Settled',
-  Abandoned = 'Abandoned'
-}
-
 /** A claim row that the table service committed. */
 export interface CommittedClaim {
   key: string
--- a/claims/history-checker/test/checkHistory.test.ts
+++ b/claims/history-checker/test/checkHistory.test.ts
@@ -4,7 +4,8 @@
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { createRandom } from '@siskinbeam/random/createRandom'
 import { checkHistory, countHistory } from '../src/checkHistory.js'
-import { ClaimRowState, FindingKind, InvocationEnd, type CommittedClaim, type History, type Invocation, type Run } from '../src/historyTypes.js'
+import { ClaimRowState } from '@siskinbeam/request-claims/claimRow'
+import { FindingKind, InvocationEnd, type CommittedClaim, type History, type Invocation, type Run } from '../src/historyTypes.js'
 
 const answered = (requestId: string, change: Partial<Invocation> = {}): Invocation => ({
   key: 'k', requestId, attempt: 1, idempotent: false, invokedAt: 0, answeredAt: 10, end: InvocationEnd.Answered, code: null, outcome: null, answerIdentity: change.key === null ? requestId : 'k', ...change
