Assert that a request refused as not run is not in flight

Cause: invariant 3 had no assertion in admission, and the run of the crash tests did not end in reasonable time when the refusal of blamed requests was removed. Ruled out: a time limit on the test (it would depend on the machine). Change: checkInvariant in admission; the crash run ends after 1,000,000 steps. Conclusion: the mechanism is guarded.

--- a/limits/admission/src/stepAdmission.ts
+++ b/limits/admission/src/stepAdmission.ts
@@ -3,6 +3,7 @@
 // arrival. A request whose expected wait would leave too little of its deadline is refused at once,
 // because a guest that learns it early can still go elsewhere, and because a server that answers past
 // the deadline has worked for nothing.
+import { checkInvariant, Invariant } from '@siskinbeam/invariants/checkInvariant'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import {
   AdmissionCommandKind, AdmissionEventKind, Place,
@@ -80,6 +81,11 @@
 
 const refuse = (state: AdmissionState, entry: Entry, code: ResultCode, random: () => number): RefuseCommand => {
   state.entries.delete(entry.requestId)
+  checkInvariant({
+    invariant: Invariant.NotRunIsTrue,
+    holds: entry.refusalOutcome !== Outcome.NotRun || entry.place === Place.Waiting || code === ResultCode.ServersRefused,
+    detail: () => `request ${entry.requestId} is refused as not run while it is in flight`
+  })
   const retryAfterMilliseconds = computeRetryAfter(state, entry.classRank, random)
   return { kind: AdmissionCommandKind.Refuse, requestId: entry.requestId, code, outcome: entry.refusalOutcome, retryAfterMilliseconds }
 }
--- a/limits/crash-suspects/test/stepCrashSuspects.test.ts
+++ b/limits/crash-suspects/test/stepCrashSuspects.test.ts
@@ -107,7 +107,7 @@
     Array.from({ length: copies }).forEach(() => arrive(`killer-${index}`, 3))
     ;[100, 300, 500, 1_000, 3_000].forEach(later => at(time + later, () => [1, 2, 3].forEach(() => arrive(`killer-${index}`, 3))))
   }))
-  for (let tick = 0; tick < endMilliseconds * 10; tick += 1) {
+  for (let tick = 0; tick < endMilliseconds * 10 && counts.steps < 1_000_000; tick += 1) {
     now = tick / 10
     const actions = agenda.get(now)
     for (let index = 0; index < (actions?.length ?? 0); index += 1) actions?.[index]?.()
