Tell as many peers of a crash as the decision asks, and spare servers a second restart

Cause: fault drain failed: two faults restarted the same server, whose port was then in use. Ruled out: a port held by a server that had not ended.

--- a/bench/bench/src/faults/injectFaults.ts
+++ b/bench/bench/src/faults/injectFaults.ts
@@ -28,7 +28,16 @@
 const drainGraceMilliseconds = 8_000
 
 const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds))
-const pickServer = ({ cluster, random }: FaultContext): RunningServerProcess => cluster.servers[pickIndex(random, cluster.servers.length)] as RunningServerProcess
+// A server that is already stopped and started by one fault is left alone by the next.
+const inRestart = new Set<RunningServerProcess>()
+async function withServer ({ cluster, random }: FaultContext, act: (server: RunningServerProcess) => Promise<void>): Promise<EndFault> {
+  const free = cluster.servers.filter(server => !inRestart.has(server) && server.process.running())
+  const server = free[pickIndex(random, free.length)] as RunningServerProcess
+  inRestart.add(server)
+  await act(server)
+  inRestart.delete(server)
+  return async () => {}
+}
 
 function freeze (cluster: Cluster, entryHosts: RunningEntryProcess[], servers: RunningServerProcess[]): EndFault {
   const processes = [...entryHosts, ...servers].map(({ process }) => process)
@@ -49,27 +58,23 @@
     await Promise.all(slowed.map(({ planned }) => callControl(planned.controlAddress, 'POST', '/control', { slowFactor: stragglerFactor })))
     return async () => { await Promise.all(slowed.map(({ planned }) => callControl(planned.controlAddress, 'POST', '/control', { slowFactor: 1 }))) }
   },
-  [FaultName.Crash]: async context => {
-    const server = pickServer(context)
+  [FaultName.Crash]: context => withServer(context, async server => {
     server.process.kill('SIGKILL')
     await server.process.exited
     await wait(restartMilliseconds)
     await context.cluster.restartServer(server)
-    return async () => {}
-  },
+  }),
   [FaultName.CrashingRequest]: async ({ cluster, submit }) => {
     const kind = cluster.workload.kinds.find(({ idempotent }) => idempotent)
     if (kind !== undefined) submit({ ...makeGuestRequest(kind, readClock()), path: `${kind.path}?${crashingPathMark}` })
     return () => cluster.restartDeadServers()
   },
-  [FaultName.Drain]: async context => {
-    const server = pickServer(context)
+  [FaultName.Drain]: context => withServer(context, async server => {
     await context.cluster.listServer(server, 'leaving')
     await server.process.stop(drainGraceMilliseconds)
     await context.cluster.restartServer(server)
     await context.cluster.listServer(server, 'live')
-    return async () => {}
-  },
+  }),
   [FaultName.Silent]: async context => {
     const silenced = sample(context.random, context.cluster.servers, 4)
     await Promise.all(silenced.map(({ planned }) => callControl(planned.controlAddress, 'POST', '/control', { silentConnections: true })))
--- a/daemon/entry-host/src/controlLoops/exchangeNews.ts
+++ b/daemon/entry-host/src/controlLoops/exchangeNews.ts
@@ -1,8 +1,10 @@
 // What entry hosts tell each other besides heartbeats: the version in force, load reports, and deaths
 // of servers. Load reports and deaths are also sent in messages of their own when they can't wait.
 import { CrashEventKind, type CrashReport } from '@siskinbeam/crash-suspects/crashTypes'
+import { reportCrashSuspects } from '@siskinbeam/crash-suspects/stepCrashSuspects'
 import type { MemberEntry } from '@siskinbeam/entry-hosts/memberEntry'
 import type { PeerClients } from '@siskinbeam/exchange/createPeerClients'
+import { sample, type Random } from '@siskinbeam/random/createRandom'
 import { ReportSource, type AgedReport } from '@siskinbeam/probing/loadReport'
 import { computeServerId } from '@siskinbeam/protocol/compactFields'
 import type { PeerMessage } from '@siskinbeam/protocol/peerMessage'
@@ -16,6 +18,7 @@
   livePeers: () => MemberEntry[]
   peerClients: PeerClients
   bundleDigestPrefix: () => string
+  random: Random
 }
 
 /** Sends and takes news. */
@@ -23,7 +26,7 @@
   tell: () => PeerNews
   hear: (message: PeerMessage) => void
   shareReports: (peer: string, service: string, reports: AgedReport[]) => void
-  announceCrash: (report: CrashReport) => Promise<void>
+  announceCrash: (report: CrashReport, peers: number) => Promise<void>
 }
 
 interface NamedServer {
@@ -31,6 +34,8 @@
   server: string
 }
 
+// A heartbeat is only the second way of a report, for hosts that missed the announcement.
+const suspectsPerHeartbeat = 4
 const emptyReport: CrashReport = { suspects: [], serverDeaths: [] }
 
 /** Creates the exchange of news. */
@@ -56,6 +61,10 @@
     loadReports: [],
     ...news
   })
+  const describeSuspects = (): CrashReport => {
+    const { crashes, now } = options.host()
+    return crashes.suspects.size === 0 ? emptyReport : reportCrashSuspects({ state: crashes, now: now(), random: options.random, maximumSuspects: suspectsPerHeartbeat })
+  }
   const hear = ({ loadReports, crashReport }: PeerMessage): void => {
     const host = options.host()
     loadReports.forEach(({ serverId, ageMilliseconds, inFlight, queued, latencyMilliseconds }) => {
@@ -71,7 +80,7 @@
   }
 
   return {
-    tell: () => ({ bundleDigestPrefix: options.bundleDigestPrefix(), crashReport: emptyReport, loadReports: [] }),
+    tell: () => ({ bundleDigestPrefix: options.bundleDigestPrefix(), crashReport: describeSuspects(), loadReports: [] }),
     hear,
     shareReports: (peer, service, reports) => {
       const address = options.livePeers().find(({ host }) => host === peer)?.peerAddress
@@ -85,7 +94,7 @@
       }))
       peerClients.get(address).exchange(makeMessage({ loadReports })).catch(() => {})
     },
-    announceCrash: report => Promise.all(options.livePeers().map(({ peerAddress }) =>
+    announceCrash: (report, peers) => Promise.all(sample(options.random, options.livePeers(), peers).map(({ peerAddress }) =>
       peerClients.get(peerAddress).exchange(makeMessage({ crashReport: report })))).then(() => {})
   }
 }
--- a/daemon/entry-host/src/controlLoops/watchBundles.ts
+++ b/daemon/entry-host/src/controlLoops/watchBundles.ts
@@ -136,11 +136,12 @@
 
   return {
     mayServe: () => mayServe(state, now()),
-    hearPeer: ({ heartbeat: { sender }, bundleDigestPrefix }) => {
+    hearPeer: ({ heartbeat: { sender, members }, bundleDigestPrefix }) => {
       const own = readHeadInForce(state)
       const isSame = own !== undefined && own.version === sender.bundleVersion && own.digest.startsWith(bundleDigestPrefix)
       // A heartbeat holds only the start of the digest; the whole one is asked for when it matters.
-      if (sender.bundleVersion > (own?.version ?? 0)) askPeer(sender.host)
+      const ahead = [sender, ...members].find(({ bundleVersion, suspected }) => bundleVersion > (own?.version ?? 0) && !suspected)
+      if (ahead !== undefined) askPeer(ahead.host)
       feed({ kind: RolloutEventKind.PeerVersion, peer: sender.host, head: isSame ? own : null })
     },
     fetchForPeer: version => {
--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -38,8 +38,8 @@
   listAddresses: (dataCentre: string | undefined) => AddressList
   /** Whether the bundle in force is known to be current enough; see watchBundles. */
   mayServe: () => boolean
-  /** Tells all live peers of a death; resolves once they know. */
-  announceCrash: (report: CrashReport) => Promise<void>
+  /** Tells this many live peers of a death; resolves once they know. */
+  announceCrash: (report: CrashReport, peers: number) => Promise<void>
   shareReports: (peer: string, service: string, reports: AgedReport[]) => void
 }
 
@@ -119,8 +119,8 @@
   }
 
   const crashCommands: { [Kind in CrashCommandKind]: (command: Extract<CrashCommand, { kind: Kind }>) => Promise<void> | undefined } = {
-    [CrashCommandKind.Announce]: ({ report, holdAnswersMilliseconds }) => Promise.race([
-      options.announceCrash(report),
+    [CrashCommandKind.Announce]: ({ report, peers, holdAnswersMilliseconds }) => Promise.race([
+      options.announceCrash(report, peers),
       new Promise<void>(resolve => setTimeout(resolve, holdAnswersMilliseconds))
     ]),
     [CrashCommandKind.Blamed]: ({ fingerprint, servers }) => {
--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -49,7 +49,7 @@
           noteReport(host, service, server, answer, ReportSource.Response)
           feedHealth(host, service, (answer.statusCode ?? 0) >= lowestServerError
             ? { kind: HealthEventKind.Failed, server: server.place.name, signs: readSigns(answer) }
-            : { kind: HealthEventKind.Responded, server: server.place.name, signs: readSigns(answer), latencyMilliseconds: host.now() - open.startedAt })
+            : { kind: HealthEventKind.Responded, server: server.place.name, signs: readSigns(answer), latencyMilliseconds: Math.max(0, host.now() - open.startedAt - server.roundTripMilliseconds) })
           exchange.claim?.answered(answer.statusCode ?? 502, kept?.headers() ?? {}, kept?.body() ?? null)
         } else {
           exchange.claim?.sendFailed(ResultCode.AnswerTruncated)
@@ -64,7 +64,8 @@
     else noteShed(host, service, open.server, answer)
     if (open.written) exchange.claim?.notStarted()
     if (exchange.finished || dispatch.answered) return
-    feedAdmission(host, service, { kind: AdmissionEventKind.Shed, requestId: exchange.number, resends: true, refusalOutcome: Outcome.NotRun })
+    // A server that leaves refuses whatever its load.
+    if (answer !== undefined && !readSigns(answer).draining) feedAdmission(host, service, { kind: AdmissionEventKind.Shed, requestId: exchange.number, resends: true, refusalOutcome: Outcome.NotRun })
     tryAgain(dispatch, RetryCause.NotStarted, {
       code: ResultCode.ServersRefused, message: `the last server tried did not start the request: ${reason}`, retryAfterMilliseconds: 1_000
     })
--- a/daemon/entry-host/src/servers/createServiceRuntimes.ts
+++ b/daemon/entry-host/src/servers/createServiceRuntimes.ts
@@ -39,15 +39,17 @@
   const { bundle, host: { now, random } } = options
   const before = options.previous.get(rule.name)
   const roundTrips = bundle.dataCentres.find(({ name }) => name === options.dataCentre)?.roundTripMilliseconds ?? {}
+  const readRoundTripMilliseconds = (dataCentre: string): number => dataCentre === options.dataCentre ? 0 : roundTrips[dataCentre] ?? assumedRoundTripMilliseconds
   const places = chooseSubset({
     hostSeed: options.host.name,
     servers: rule.servers,
     size: rule.subsetSize,
-    readRoundTripMilliseconds: dataCentre => dataCentre === options.dataCentre ? 0 : roundTrips[dataCentre] ?? assumedRoundTripMilliseconds
+    readRoundTripMilliseconds
   })
   const servers = new Map(places.map((place): [string, ServerRuntime] => {
     const known = before?.servers.get(place.name)
-    return [place.name, known?.place.address === place.address ? Object.assign(known, { place }) : createServer(options.host, place, () => runtime)]
+    const roundTripMilliseconds = readRoundTripMilliseconds(place.dataCentre)
+    return [place.name, known?.place.address === place.address ? Object.assign(known, { place, roundTripMilliseconds }) : createServer(options.host, place, roundTripMilliseconds, () => runtime)]
   }))
   const slots = places.reduce((sum, place) => sum + place.slots, 0)
   // Events of connections come only after the runtime exists.
@@ -81,10 +83,11 @@
   return runtime
 }
 
-function createServer (host: EntryHost, place: ServerPlace, service: () => ServiceRuntime): ServerRuntime {
+function createServer (host: EntryHost, place: ServerPlace, roundTripMilliseconds: number, service: () => ServiceRuntime): ServerRuntime {
   const server: ServerRuntime = {
     place,
     ...splitAddress(place.address),
+    roundTripMilliseconds,
     connections: new ServerConnections({
       maximumConnections: place.connections,
       outgoingAddress: host.outgoingAddress,
--- a/daemon/entry-host/src/servers/observeServers.ts
+++ b/daemon/entry-host/src/servers/observeServers.ts
@@ -69,5 +69,6 @@
 /** A server refused a request before its start. */
 export function noteShed (host: EntryHost, service: ServiceRuntime, server: ServerRuntime, answer: IncomingMessage): void {
   feedChoice(host, service, { kind: ChoiceEventKind.Shed, server: server.place.name })
+  noteReport(host, service, server, answer, ReportSource.Response)
   feedHealth(host, service, { kind: HealthEventKind.Responded, server: server.place.name, signs: readSigns(answer) })
 }
--- a/daemon/entry-host/src/servers/serviceRuntime.ts
+++ b/daemon/entry-host/src/servers/serviceRuntime.ts
@@ -21,6 +21,8 @@
   place: ServerPlace
   host: string
   port: number
+  /** To the data centre of the server, as the bundle states it; a far server is not a slow one. */
+  roundTripMilliseconds: number
   connections: ServerConnections
   connectionHealth: ConnectionHealthState
   /** The boot that the server last stated. */
--- a/daemon/entry-host/src/startEntryHost.ts
+++ b/daemon/entry-host/src/startEntryHost.ts
@@ -31,6 +31,8 @@
 import { createOperatorsListener } from './operators/serveOperators.js'
 import { feedHealth } from './servers/observeServers.js'
 
+type AddressRule = typeof defaultAddressRule
+
 export type EntryHostSettings = SettingValues<typeof entryHostSettings>
 
 /** An entry host that runs. */
@@ -46,6 +48,9 @@
 const peerGraceMilliseconds = 500
 const leavePollMilliseconds = 20
 const defaultAddressRule = { maximumAddresses: 6, timeToLiveSeconds: 2 }
+/** A host that just started knows few others, so its answers should not be kept for long. */
+const learningMilliseconds = 5_000
+const learningTimeToLiveSeconds = 1
 
 /** Starts an entry host in this process. Fails with KeyInvalid if a trusted key can't be read. */
 export async function startEntryHost (settings: EntryHostSettings): Promise<Result<RunningEntryHost>> {
@@ -61,6 +66,7 @@
   const objects = createObjectClient({ address: settings.objectStoreAddress })
   const hostList = createHostListClient({ address: settings.hostListAddress })
   const now = (): number => performance.now()
+  const startedAt = now()
   const peerClients = createPeerClients({ key: settings.peerKey, timeoutMilliseconds: peerTimeoutMilliseconds, now })
 
   // The loops need each other, so they find one another here once all have started.
@@ -71,7 +77,7 @@
     : answerAddresses({
       membership: loops.membership.state,
       ...(dataCentre === undefined ? {} : { dataCentre }),
-      rule: core.host.activeBundle()?.bundle.entryAddresses ?? defaultAddressRule,
+      rule: makeAddressRule(core.host.activeBundle()?.bundle.entryAddresses ?? defaultAddressRule, now() - startedAt),
       now: now(),
       random
     })
@@ -80,7 +86,8 @@
     own: () => loops.membership?.state.own as MemberEntry,
     livePeers,
     peerClients,
-    bundleDigestPrefix: () => shortenDigest(loops.bundles?.head())
+    bundleDigestPrefix: () => shortenDigest(loops.bundles?.head()),
+    random
   })
   const core: HostCore = createHostCore({
     name: settings.host,
@@ -189,6 +196,10 @@
   })
 }
 
+function makeAddressRule (rule: AddressRule, uptimeMilliseconds: number): AddressRule {
+  return uptimeMilliseconds < learningMilliseconds ? { ...rule, timeToLiveSeconds: learningTimeToLiveSeconds } : rule
+}
+
 async function leaveGracefully (core: HostCore, membership: MembershipLoop, settings: EntryHostSettings, logger: Logger): Promise<void> {
   core.setPhase(HostPhase.Leaving)
   membership.leave()
