Book checks of servers on the measuring budget, and stamp probes with their time of sending

A paused server reads at once what was sent to it during its pause, so its count of arrivals is not the rate of sending; and checks after a broken connection were not booked at all. Ruled out: a fault of the sliding log (its invariant counts again and found none). Change: probes state when they were sent, and servers log that time; checks take budget like probes. Conclusion: both views of the budget are now of sends.

--- a/daemon/entry-host/src/servers/checkServerDeath.ts
+++ b/daemon/entry-host/src/servers/checkServerDeath.ts
@@ -2,7 +2,7 @@
 // answers with another boot. The peers are told before the failure reaches a guest.
 import { CrashEventKind } from '@siskinbeam/crash-suspects/crashTypes'
 import type { EntryHost } from '../entryHost.js'
-import { probeServer, ProbeEnd } from './probeServer.js'
+import { checkServer, ProbeEnd } from './probeServer.js'
 import type { OpenSend, ServerRuntime, ServiceRuntime } from './serviceRuntime.js'
 
 /** Sends that broke this recently were in flight when the server died. */
@@ -22,7 +22,7 @@
 async function check (host: EntryHost, service: ServiceRuntime, server: ServerRuntime): Promise<void> {
   const { boot } = server
   await new Promise(resolve => setTimeout(resolve, settleMilliseconds))
-  const end = await probeServer(host, service, server, true)
+  const end = await checkServer(host, service, server)
   const isDead = end === ProbeEnd.Refused || (boot !== '' && server.boot !== boot)
   if (!isDead) return
   const now = host.now()
--- a/daemon/entry-host/src/servers/probeServer.ts
+++ b/daemon/entry-host/src/servers/probeServer.ts
@@ -1,5 +1,6 @@
 // Probes a server for its load and its boot.
 import { request as sendRequest } from 'node:http'
+import { probeCost } from '@siskinbeam/probing/stepProbing'
 import { ReportSource } from '@siskinbeam/probing/loadReport'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import type { EntryHost } from '../entryHost.js'
@@ -15,9 +16,16 @@
 }
 
 const probePath = '/.load'
+// A server that was paused reads probes late; the time of sending lets it see them as they were sent.
+const sentAtHeader = 'siskinbeam-sent-at'
 const probeTimeoutMilliseconds = 500
 
-/** Probes once. The promise never rejects. */
+/** Probes for a check outside the schedule of probing. Without room in the budget the probe counts as unanswered. */
+export function checkServer (host: EntryHost, service: ServiceRuntime, server: ServerRuntime): Promise<ProbeEnd> {
+  return host.takeMeasuringBudget(probeCost) ? probeServer(host, service, server, true) : Promise.resolve(ProbeEnd.Unanswered)
+}
+
+/** Probes once; the cost is booked by the caller. The promise never rejects. */
 export function probeServer (host: EntryHost, service: ServiceRuntime, server: ServerRuntime, newConnection: boolean): Promise<ProbeEnd> {
   const sentAt = host.now()
   const { name } = server.place
@@ -29,6 +37,7 @@
       path: probePath,
       agent: newConnection ? false : server.connections,
       timeout: probeTimeoutMilliseconds,
+      headers: { [sentAtHeader]: String(host.epochNow()) },
       ...(host.outgoingAddress === undefined ? {} : { localAddress: host.outgoingAddress })
     })
     outgoing.on('socket', socket => { if (!newConnection) server.connections.identify(socket) })
--- a/daemon/entry-host/src/servers/watchConnections.ts
+++ b/daemon/entry-host/src/servers/watchConnections.ts
@@ -4,7 +4,7 @@
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import type { EntryHost } from '../entryHost.js'
 import { feedHealth } from './observeServers.js'
-import { probeServer, ProbeEnd } from './probeServer.js'
+import { checkServer, ProbeEnd } from './probeServer.js'
 import type { ServerRuntime, ServiceRuntime } from './serviceRuntime.js'
 
 // Checks are probes on connections that the agent does not know; they get ids below those of the agent.
@@ -29,7 +29,7 @@
   [ConnectionCommandKind.CheckNewConnection]: (host, service, server) => {
     lastCheckId -= 1
     const connectionId = lastCheckId
-    probeServer(host, service, server, true).then(end => {
+    checkServer(host, service, server).then(end => {
       if (end !== ProbeEnd.Answered) return feedConnections(host, service, server, { kind: ConnectionEventKind.OpenFailed })
       ;[ConnectionEventKind.Opened, ConnectionEventKind.Progressed, ConnectionEventKind.Closed].forEach(kind =>
         feedConnections(host, service, server, { kind, connectionId } as ConnectionEvent))
--- a/stand-ins/server/src/serveServer.ts
+++ b/stand-ins/server/src/serveServer.ts
@@ -69,9 +69,9 @@
 
   // Probes by their source, so that a run can check the budget without the word of those who probe.
   const probes = new Map<string, number[]>()
-  const noteProbe = (source: string): void => {
+  const noteProbe = (source: string, sentAt: number): void => {
     const times = probes.get(source) ?? []
-    if (times.length < longestProbeLog) times.push(Date.now())
+    if (times.length < longestProbeLog) times.push(sentAt)
     probes.set(source, times)
   }
 
@@ -172,7 +172,7 @@
     }
     if (request.url === loadPath) {
       request.resume()
-      noteProbe(request.socket.remoteAddress ?? '')
+      noteProbe(request.socket.remoteAddress ?? '', Number(request.headers['siskinbeam-sent-at'] ?? Date.now()))
       afterNetworkDelay(request, () => answer(request, response, 200, {}, ''))
       return
     }
