Write a non-idempotent request without a key at most once, and let answers outlast the deadline

Cause: a refused request without a key was sent to a second server, though only the word of the first says that it did not run; and an answer that was being relayed at the deadline was cut. Ruled out: a claim for requests without a key, which no resend could name. Change: such a request is written once; the deadline ends with the head of the answer; the token of a hedge that finds no server goes back.

--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -66,9 +66,12 @@
     if (exchange.finished || dispatch.answered) return
     // A server that leaves refuses whatever its load.
     if (answer !== undefined && !readSigns(answer).draining) feedAdmission(host, service, { kind: AdmissionEventKind.Shed, requestId: exchange.number, resends: true, refusalOutcome: Outcome.NotRun })
-    tryAgain(dispatch, RetryCause.NotStarted, {
+    const refusal = {
       code: ResultCode.ServersRefused, message: `the last server tried did not start the request: ${reason}`, retryAfterMilliseconds: 1_000
-    })
+    }
+    // Without a key, nothing but the word of the server says that it did not run, so it is written once.
+    if (open.written && exchange.route?.idempotent === false && exchange.key === undefined) return failRequest(dispatch, refusal)
+    tryAgain(dispatch, RetryCause.NotStarted, refusal)
   },
   [AttemptEnd.Broken]: (dispatch, open, { reason }) => {
     const { host, service } = dispatch
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -1,6 +1,6 @@
 // Sends a request until a server answers or nothing more may be tried: chooses a server, sends, hedges,
 // retries within the budget, and relays the answer.
-import { recordFirstSend } from '@siskinbeam/retries/retryBudget'
+import { recordFirstSend, returnToken } from '@siskinbeam/retries/retryBudget'
 import { carriesRetriedHeader } from '@siskinbeam/retries/decideRetry'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
@@ -54,6 +54,7 @@
     })
     const server = name === undefined ? undefined : service.servers.get(name)
     if (server !== undefined) return sendTo(dispatch, server, isHedge)
+    if (isHedge) returnToken(service.retryBudget)
     if (dispatch.open.size > 0) return
     failRequest(dispatch, dispatch.tried.length === 0
       ? { code: ResultCode.NoServer, message: 'no server takes new work', retryAfterMilliseconds: 1_000 }
@@ -133,15 +134,12 @@
 
 function onDeadline (dispatch: Dispatch): void {
   const { exchange, host, service } = dispatch
-  if (exchange.finished) return
+  // An answer on its way may be longer than the deadline; a connection that goes silent is found by its health.
+  if (exchange.finished || dispatch.answered) return
   const { claim } = exchange
   dispatch.open.forEach(({ server, written }) => {
     if (written) feedHealth(host, service, { kind: HealthEventKind.Failed, server: server.place.name })
   })
-  if (dispatch.answered) {
-    exchange.response.destroy()
-    return finishExchange(exchange)
-  }
   if (claim !== undefined && mayHaveStarted(dispatch)) {
     setTimeout(cancelOpen, lateAnswerMilliseconds, dispatch).unref()
     return claim.sendFailed(ResultCode.ServerTimedOut)
--- a/daemon/entry-host/test/requestPath.test.ts
+++ b/daemon/entry-host/test/requestPath.test.ts
@@ -87,13 +87,25 @@
   await Promise.all([path.stop(), ...servers.map(server => server.stop())])
 })
 
-test('a refusal before the start is tried elsewhere, and is "not run" when all refuse', async () => {
+test('a non-idempotent request without a key is written once, also when the server refuses it', async () => {
   const refusal = 'HTTP/1.1 503 Busy\r\nnot-started: true\r\ncontent-length: 0\r\n\r\n'
   const servers = await Promise.all([1, 2].map(() => startScriptedServer(socket => socket.write(refusal))))
   const path = await startPath(makeBundle(servers.map(({ address }) => address)))
   const { received } = await exchangeRaw(path.guestAddress, post('/desk/bookings', 'x'))
   assert.equal(readCode(received), ResultCode.ServersRefused)
   assert.equal(readOutcome(received), 'not-run')
+  assert.equal(servers.flatMap(({ requests }) => requests).filter(text => text.startsWith('POST')).length, 1)
+  await Promise.all([path.stop(), ...servers.map(server => server.stop())])
+})
+
+test('a refusal before the start is tried elsewhere, and is "not run" when all refuse', async () => {
+  const refusal = 'HTTP/1.1 503 Busy\r\nnot-started: true\r\ncontent-length: 0\r\n\r\n'
+  const servers = await Promise.all([1, 2].map(() => startScriptedServer(socket => socket.write(refusal))))
+  const path = await startPath(makeBundle(servers.map(({ address }) => address)))
+  const { received } = await exchangeRaw(path.guestAddress, get('/desk/limits'))
+  assert.equal(readCode(received), ResultCode.ServersRefused)
+  assert.equal(readOutcome(received), 'not-run')
+  assert.equal(servers.flatMap(({ requests }) => requests).filter(text => text.startsWith('GET /desk')).length, 2)
   await Promise.all([path.stop(), ...servers.map(server => server.stop())])
 })
 
