Add the demonstration of the whole path

Cause: nothing showed the whole path to a newcomer in one command. The address lookup gives the version in force, so no further endpoint is needed for it. `--keep` leaves it up with command lines to try. The siskinbeamctl lines of `--keep` answer "this build has no client for it", because the binary is not connected to the platform clients yet.

--- /dev/null
+++ b/bench/demo/src/listTrials.ts
@@ -0,0 +1,25 @@
+// Command lines to try on a demonstration that is kept running.
+import { fileURLToPath } from 'node:url'
+import type { Cluster } from '@siskinbeam/bench/cluster/startCluster'
+
+/** Lists command lines for a shell in the directory of the repository. */
+export function listTrials ({ plan, operators, operatorKey, entryHosts, servers, directory }: Cluster): string[] {
+  const entry = entryHosts.find(({ process }) => process.running())?.planned
+  const guest = `http://${entry?.guestAddress ?? ''}`
+  const command = `node ${fileURLToPath(import.meta.resolve('@siskinbeam/siskinbeamctl/runSiskinbeamctl'))}`
+  return [
+    `export SISKINBEAM_TABLE_ADDRESS=${plan.tableAddress} SISKINBEAM_OBJECT_STORE_ADDRESS=${plan.objectStoreAddress} SISKINBEAM_HOST_LIST_ADDRESS=${plan.hostListAddress}`,
+    `export SISKINBEAM_OPERATOR_KEY=${operatorKey} SISKINBEAM_TRUSTED_KEYS=${operators.trustedKeys.join(',')}`,
+    `curl -i ${guest}/.siskinbeam/addresses`,
+    `curl -i ${guest}/desk/limits`,
+    `curl -i -X POST -H 'idempotency-key: trial-1' -H 'siskinbeam-attempt: 1' -d permit ${guest}/issuer/permits`,
+    `curl -i -X POST -H 'idempotency-key: trial-1' -H 'siskinbeam-attempt: 2' -d permit ${guest}/issuer/permits`,
+    `curl -X POST -H 'content-type: application/json' -d '{"drain":true}' http://${servers[0]?.planned.controlAddress ?? ''}/control`,
+    `curl -H "authorization: Bearer $SISKINBEAM_OPERATOR_KEY" http://${entry?.metricsAddress ?? ''}/metrics`,
+    `${command} status`,
+    `${command} bundle status`,
+    `${command} bundle history`,
+    `${command} dump --host ${entry?.peerAddress ?? ''}`,
+    `tail -f ${directory}/${entry?.name ?? ''}.log`
+  ]
+}
--- /dev/null
+++ b/bench/demo/src/summarizeDemo.ts
@@ -0,0 +1,95 @@
+// The outcome of a demonstration: what became of each request, by what guests saw and servers ran.
+import { checkRunHistory } from '@siskinbeam/bench/checkRunHistory'
+import { classifyRequest, FinalEnd, SendEnd, type GuestRequest } from '@siskinbeam/bench/load/invocation'
+import { readPercentile } from '@siskinbeam/bench/summarizeRun'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import type { RunRecord as ServerRun } from '@siskinbeam/stand-in-server/serveServer'
+import type { HostVersion } from './bundleVersions.js'
+import type { EventFindings, HostCounters } from './demoEvents.js'
+
+/** Figures of a demonstration. */
+export interface DemoSummary {
+  sent: number
+  answered: number
+  /** Requests that ended with an account, by the name of its result code and its outcome. */
+  refused: Record<string, number>
+  ranTwice: number
+  wrongAnswer: number
+  lost: number
+  p50Ms: number
+  p99Ms: number
+  probes: number
+  violations: number
+  rolloutMilliseconds: number | undefined
+  stoppedExitCode: number | null
+  versions: HostVersion[]
+}
+
+export interface SummarizeDemoOptions {
+  requests: GuestRequest[]
+  runs: ServerRun[]
+  events: EventFindings
+  counters: HostCounters[]
+  versions: HostVersion[]
+}
+
+export const expectedVersion = 2
+
+/** Computes the figures. */
+export function summarizeDemo ({ requests, runs, events, counters, versions }: SummarizeDemoOptions): DemoSummary {
+  const history = checkRunHistory(requests, runs)
+  const ends = requests.map(request => ({ request, end: classifyRequest(request) }))
+  const answered = ends.filter(({ end }) => end === FinalEnd.Answered)
+  const latencies = answered.map(({ request: { endedAt, intendedAt } }) => (endedAt ?? intendedAt) - intendedAt)
+  const allCounters = [...counters, events.stoppedCounters]
+  return {
+    sent: requests.length,
+    answered: answered.length,
+    refused: countReasons(ends.filter(({ end }) => end === FinalEnd.RefusedNotRun || end === FinalEnd.Unknown).map(({ request }) => request)),
+    ranTwice: history.ranTwice,
+    wrongAnswer: history.wrongAnswer,
+    lost: ends.filter(({ end }) => end === FinalEnd.LostWithoutAccount).length,
+    p50Ms: readPercentile(latencies, 50),
+    p99Ms: readPercentile(latencies, 99),
+    probes: allCounters.reduce((sum, { probes }) => sum + probes, 0),
+    violations: allCounters.reduce((sum, { violations }) => sum + violations, 0),
+    rolloutMilliseconds: events.rolloutMilliseconds,
+    stoppedExitCode: events.stoppedExitCode,
+    versions
+  }
+}
+
+/** Whether nothing was lost without an account, nothing ran twice, and the second bundle is in force everywhere. */
+export function isDemoPassed ({ lost, ranTwice, wrongAnswer, versions }: DemoSummary): boolean {
+  return lost + ranTwice + wrongAnswer === 0 && versions.length > 0 && versions.every(({ version }) => version === expectedVersion)
+}
+
+/** Renders the closing table. */
+export function renderSummary (summary: DemoSummary): string {
+  const reasons = Object.entries(summary.refused)
+  const rows: Array<[string, string]> = [
+    ['sent', String(summary.sent)],
+    ['answered', String(summary.answered)],
+    ['refused with reason', String(reasons.reduce((sum, [, count]) => sum + count, 0))],
+    ...reasons.map(([name, count]): [string, string] => [`  ${name}`, String(count)]),
+    ['run twice', String(summary.ranTwice)],
+    ['lost', String(summary.lost)],
+    ['wrong answer', String(summary.wrongAnswer)],
+    ['p50 ms', summary.p50Ms.toFixed(1)],
+    ['p99 ms', summary.p99Ms.toFixed(1)],
+    ['probes', String(summary.probes)],
+    ['invariant violations', String(summary.violations)],
+    ['rollout ms', String(summary.rolloutMilliseconds ?? 'not in force everywhere')],
+    ...summary.versions.map(({ host, version }): [string, string] => [`bundle on ${host}`, version === null ? 'none' : `version ${version}`])
+  ]
+  const width = Math.max(...rows.map(([name]) => name.length)) + 2
+  return rows.map(([name, value]) => name.padEnd(width) + value).join('\n') + '\n'
+}
+
+function countReasons (requests: GuestRequest[]): Record<string, number> {
+  return requests.reduce<Record<string, number>>((counts, { sends }) => {
+    const last = sends.filter(({ end }) => end === SendEnd.Account).at(-1)
+    const name = `${ResultCode[last?.code ?? 0] ?? 'no code'} (${last?.outcome ?? 'unknown'})`
+    return { ...counts, [name]: (counts[name] ?? 0) + 1 }
+  }, {})
+}
