--- /dev/null
+++ b/bench/micro/src/microRecord.ts
@@ -0,0 +1,75 @@
+// The record of a run of the micro bench, as it is written to JSON.
+
+/** What a measurement counts. */
+export enum MicroUnit {
+  Microseconds = 'microseconds',
+  Bytes = 'bytes'
+}
+
+/** Names of the measurements. `scripts/computeCapacity.mjs` refers to them. */
+export enum MicroName {
+  ServerDecision = 'server-decision',
+  SubsetChoice = 'subset-choice',
+  ProbeDecision = 'probe-decision',
+  Admission = 'admission',
+  ClaimBatch = 'claim-batch',
+  HeartbeatStep = 'heartbeat-step',
+  BundleParse = 'bundle-parse',
+  BundleCheck = 'bundle-check',
+  BundleCheckOneService = 'bundle-check-one-service',
+  BundleVerification = 'bundle-verification',
+  SignatureVerification = 'signature-verification',
+  BundleInForce = 'bundle-in-force',
+  RouteLookup = 'route-lookup',
+  CrashSuspectCheck = 'crash-suspect-check',
+  PlainCall = 'plain-call',
+  ChannelRoundTrip = 'channel-round-trip',
+  ServiceStateMemory = 'service-state-memory',
+  BundleMemory = 'bundle-memory',
+  MemberMemory = 'member-memory',
+  BundleSize = 'bundle-size',
+  OneServerDifference = 'one-server-difference',
+  HeartbeatSize = 'heartbeat-size',
+  SharedReportsSize = 'shared-reports-size',
+  HostListSize = 'host-list-size'
+}
+
+/** One measurement at one size. The spread is over repetitions; sizes in bytes have none. */
+export interface Measurement {
+  name: MicroName
+  unit: MicroUnit
+  size: number
+  /** What `size` counts, for example servers. */
+  sizeUnit: string
+  median: number
+  lowest: number
+  highest: number
+  /** Standard deviation over the repetitions. */
+  deviation: number
+  repetitions: number
+  /** Operations in one repetition. */
+  iterations: number
+}
+
+/** A least-squares line through the medians of one measurement over its sizes. */
+export interface Fit {
+  name: MicroName
+  unit: MicroUnit
+  sizeUnit: string
+  slope: number
+  /** Standard error of the slope; null with fewer than three sizes. */
+  slopeError: number | null
+  intercept: number
+  interceptError: number | null
+  /** Standard deviation of the medians about the line; null with fewer than three sizes. */
+  residualDeviation: number | null
+  points: number
+}
+
+/** Everything that a run writes. */
+export interface MicroRecord {
+  nodeVersion: string
+  processor: string
+  measurements: Measurement[]
+  fits: Fit[]
+}
