Stop the processes of an interrupted demonstration and remove its logs

Cause: SIGINT before the end of the load left the directory of the logs behind. Ruled out: an exit handler, which cannot wait for the processes to end before it removes the directory.

--- a/bench/demo/src/runDemo.ts
+++ b/bench/demo/src/runDemo.ts
@@ -38,9 +38,12 @@
   process.exit(1)
 }, timeLimitMilliseconds)
 
-// A signal that ends this process by default would leave the processes of the system behind; those
-// that run are killed on exit.
-const endEarly = (): void => process.exit(130)
+const interruptedExitCode = 130
+const running: Cluster[] = []
+// A signal that ended this process by default would leave the other processes and the logs behind.
+const endEarly = (): void => {
+  Promise.allSettled(running.map(({ stop }) => stop())).then(() => process.exit(interruptedExitCode)).catch(() => {})
+}
 process.once('SIGINT', endEarly)
 process.once('SIGTERM', endEarly)
 
@@ -52,6 +55,7 @@
   leavingSeconds,
   changeBundle: bundle => { bundle.name = demoBundleName }
 })
+running.push(cluster)
 process.exitCode = 1
 try {
   report(`${cluster.entryHosts.length} entry hosts in ${demoWorkload.dataCentres.length} data centres and ${cluster.servers.length} servers run with signed bundle version 1`)
