Limit the time of one test file

Cause: a failing assertion left listeners open, and node's runner waited for ever (seen in a trial). Change: 180 s for each file. Conclusion: a failure ends the run.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -12,5 +12,5 @@
   .flatMap(directory => readdirSync(join(rootDirectory, directory)).map(name => join(directory, name)))
   .filter(file => file.endsWith('.test.js') && existsSync(join(rootDirectory, file.replace('/lib/test/', '/test/').replace(/\.js$/, '.ts'))))
 
-const { status } = spawnSync(process.execPath, ['--test', '--test-reporter=spec', ...files], { cwd: rootDirectory, stdio: 'inherit' })
+const { status } = spawnSync(process.execPath, ['--test', '--test-timeout=180000', '--test-reporter=spec', ...files], { cwd: rootDirectory, stdio: 'inherit' })
 process.exitCode = status ?? 1
