Connect siskinbeamctl to the platform clients and to entry hosts

Cause: the command was tested with fakes of interfaces that it declared itself; its binary failed every call to the platform and to entry hosts.

Ruled out: an adapter that keeps the command's own interfaces (they differ from those of platform/clients in the read result, the transaction conflict and the object put, so the fakes would go on to test another shape); a cache of peer clients (an open HTTP/2 session keeps the command from ending for two minutes).

Change: connectPlatform and connectPeers use the types of platform/clients, peers/exchange and peers/protocol. In siskinbeamctl.test.ts only the field names of the fake hosts and statuses changed.

--- a/command/siskinbeamctl/src/commandContext.ts
+++ b/command/siskinbeamctl/src/commandContext.ts
@@ -5,20 +5,17 @@
 import { readTrustedKeys } from '@siskinbeam/signatures/signingKeys'
 import { verifySignedBundle, type VerifiedBundle } from '@siskinbeam/signatures/verifySignedBundle'
 import type { CommandSettings, SettingName } from './commandSettings.js'
-import type { PeerClient } from './connectPeers.js'
-import { createBodyStore, createHeadStore, type PlatformClients } from './connectPlatform.js'
+import type { ConnectPeer } from './connectPeers.js'
+import { createBodyStore, createHeadStore, type PlatformConnectors } from './connectPlatform.js'
 
-export type PlatformSettings = Partial<Pick<CommandSettings, 'tableAddress' | 'objectStoreAddress' | 'hostListAddress'>>
-
-export interface CommandSurroundings {
+export interface CommandSurroundings extends PlatformConnectors {
   environment: Record<string, string | undefined>
   writeOutput: (line: string) => void
   writeError: (line: string) => void
   /** Throws if the file cannot be read. */
   readFile: (path: string) => Promise<Uint8Array>
   writeFile: (path: string, bytes: Uint8Array) => Promise<void>
-  createPlatformClients: (settings: PlatformSettings) => PlatformClients
-  createPeerClient: (settings: Pick<CommandSettings, 'operatorKey'>) => PeerClient
+  connectPeer: ConnectPeer
   wait: (milliseconds: number) => Promise<void>
   /** ISO 8601. */
   readClock: () => string
@@ -62,7 +59,7 @@
   if (/^\d+$/.test(reference)) {
     const settings = context.settings('tableAddress')
     if (!settings.ok) return settings
-    const records = await createHeadStore(context.createPlatformClients(settings.value).table).readRecords([Number(reference)])
+    const records = await createHeadStore(context.connectTable({ address: settings.value.tableAddress })).readRecords([Number(reference)])
     if (!records.ok) return records
     const record = records.value[0]
     if (record === undefined) return fail(ResultCode.BundleNotFound, `version ${reference} was never rolled out`, { key: reference, expected: 'a version that "bundle history" lists' })
@@ -71,7 +68,7 @@
   if (!/^[0-9a-f]{64}$/.test(reference)) return readDocumentFile(context, reference)
   const settings = context.settings('objectStoreAddress')
   if (!settings.ok) return settings
-  return createBodyStore(context.createPlatformClients(settings.value).objects).getBody(reference)
+  return createBodyStore(context.connectObjects({ address: settings.value.objectStoreAddress })).getBody(reference)
 }
 
 /** Verifies a document with the trusted keys of the settings. */
--- a/command/siskinbeamctl/src/connectPeers.ts
+++ b/command/siskinbeamctl/src/connectPeers.ts
@@ -1,50 +1,46 @@
-// Adapter from the connect-es client of entry hosts to what the command needs.
+// Calls of the command to entry hosts. Each call has a client of its own, which is closed after it: an
+// open session would keep the command from ending.
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
+import type { CreatePeerClientOptions, PeerClient } from '@siskinbeam/exchange/createPeerClient'
+import type { PeerStatus } from '@siskinbeam/protocol/peerStatus'
 
-/** What an entry host tells of itself. */
-export interface HostStatus {
-  host: string
-  boot: string
-  /** 0 if no bundle is in force. */
-  version: number
-  digest: string
-  /** Public keys of author and approver. */
-  signers: string[]
-  leaving: boolean
-  inFlight: number
-}
-
-/** Calls to one entry host by its peer address; they throw errors with a connect-es `code`. */
-export interface PeerClient {
-  status: (address: string) => Promise<HostStatus>
-  /** JSON text. */
-  dump: (address: string) => Promise<string>
-}
+/** The calls that the command makes. */
+export type OperatorPeerClient = Pick<PeerClient, 'status' | 'dump' | 'close'>
+export type ConnectPeer = (options: CreatePeerClientOptions) => OperatorPeerClient
 
-export interface PeerCalls {
-  /** Fails with HostUnreachable or NotAuthorized. */
-  readStatus: (address: string) => Promise<Result<HostStatus>>
-  readDump: (address: string) => Promise<Result<unknown>>
+export interface CallPeerOptions {
+  connect: ConnectPeer
+  /** Peer address of the entry host. */
+  address: string
+  operatorKey: string
 }
 
-// Code.Unauthenticated and Code.PermissionDenied of connect-es.
-const refusalCodes = new Set<unknown>([16, 7])
+/** A dump of a large host takes about a second to make and send; a host that is paused takes for ever. */
+const timeoutMilliseconds = 5_000
 
-/** Turns errors of the calls into result codes. */
-export function createPeerCalls (client: PeerClient): PeerCalls {
-  return {
-    readStatus: address => callHost(address, () => client.status(address)),
-    readDump: address => callHost(address, async () => JSON.parse(await client.dump(address)) as unknown)
-  }
+/** Reads the status of one entry host. Fails with HostUnreachable or NotAuthorized. */
+export function readStatus (options: CallPeerOptions): Promise<Result<PeerStatus>> {
+  return callPeer(options, client => client.status())
 }
 
-async function callHost<Value> (address: string, call: () => Promise<Value>): Promise<Result<Value>> {
+/** Reads the state of one entry host. Fails with HostUnreachable or NotAuthorized. */
+export async function readDump (options: CallPeerOptions): Promise<Result<unknown>> {
+  const text = await callPeer(options, client => client.dump())
+  if (!text.ok) return text
   try {
-    return succeed(await call())
+    return succeed(JSON.parse(text.value))
   } catch (error) {
-    const { code, message } = error as { code?: unknown, message: string }
-    if (refusalCodes.has(code)) return fail(ResultCode.NotAuthorized, `${address} refused the operator key`, { key: 'operator-key', expected: 'the operator key of the entry hosts' })
-    return fail(ResultCode.HostUnreachable, `${address} did not answer: ${message}`, { key: address, expected: 'a running entry host' })
+    return fail(ResultCode.HostUnreachable, `${options.address} sent a dump that is not JSON: ${(error as Error).message}`, { key: options.address, expected: 'an entry host of this version' })
   }
 }
+
+async function callPeer<Value> ({ connect, address, operatorKey }: CallPeerOptions, call: (client: OperatorPeerClient) => Promise<Result<Value>>): Promise<Result<Value>> {
+  const client = connect({ address, key: operatorKey, timeoutMilliseconds })
+  const result = await call(client)
+  client.close()
+  if (result.ok) return result
+  return result.error.code === ResultCode.NotAuthorized
+    ? fail(ResultCode.NotAuthorized, `${address} refused the operator key`, { key: 'operator-key', expected: 'the operator key of the entry hosts' })
+    : fail(ResultCode.HostUnreachable, `${address} did not answer: ${result.error.message}`, { key: address, expected: 'a running entry host' })
+}
--- a/command/siskinbeamctl/src/rolloutCommands.ts
+++ b/command/siskinbeamctl/src/rolloutCommands.ts
@@ -15,7 +15,7 @@
   if (!document.ok) return [document.error]
   const verified = verifyDocument(context, document.value)
   if (!verified.ok) return [verified.error]
-  const bodies = createBodyStore(context.createPlatformClients(settings.value).objects)
+  const bodies = createBodyStore(context.connectObjects({ address: settings.value.objectStoreAddress }))
   const stored = await bodies.putBody(verified.value.digest, formatSignedBundle(document.value))
   if (!stored.ok) return [stored.error]
   context.writeOutput(`submitted ${describe(verified.value)}`)
@@ -26,15 +26,16 @@
 export async function rollOutSubmitted (context: CommandContext, reference: string): Promise<CommandResult> {
   const settings = context.settings('tableAddress', 'objectStoreAddress', 'trustedKeys')
   if (!settings.ok) return [settings.error]
-  const clients = context.createPlatformClients(settings.value)
+  const table = context.connectTable({ address: settings.value.tableAddress })
+  const objects = context.connectObjects({ address: settings.value.objectStoreAddress })
   const document = await findSignedBundle(context, reference)
   if (!document.ok) return [document.error]
-  const bytes = await createBodyStore(clients.objects).getBody(document.value.digest)
+  const bytes = await createBodyStore(objects).getBody(document.value.digest)
   if (!bytes.ok) return [bytes.error]
   const stored = readSignedBundle(bytes.value)
   const verified = stored.ok ? verifyDocument(context, stored.value) : stored
   if (!verified.ok) return [verified.error]
-  const result = await rollOutBundle({ verified: verified.value, heads: createHeadStore(clients.table), wait: context.wait, rolledOutAt: context.readClock() })
+  const result = await rollOutBundle({ verified: verified.value, heads: createHeadStore(table), wait: context.wait, rolledOutAt: context.readClock() })
   if (!result.ok) return [result.error]
   context.writeOutput(`rolled out ${describe(verified.value)} head=${result.value.version}`)
   return []
@@ -48,13 +49,14 @@
 export async function showHead (context: CommandContext): Promise<CommandResult> {
   const settings = context.settings('tableAddress', 'objectStoreAddress', 'trustedKeys')
   if (!settings.ok) return [settings.error]
-  const clients = context.createPlatformClients(settings.value)
-  const stored = await createHeadStore(clients.table).readHead()
+  const table = context.connectTable({ address: settings.value.tableAddress })
+  const objects = context.connectObjects({ address: settings.value.objectStoreAddress })
+  const stored = await createHeadStore(table).readHead()
   if (!stored.ok) return [stored.error]
   const { head } = stored.value
   if (head === null) return [{ code: ResultCode.BundleNotFound, message: 'no bundle is rolled out', key: 'bundle/head', expected: 'a rollout' }]
   context.writeOutput(`head version=${head.version} digest=${head.digest}`)
-  const bytes = await createBodyStore(clients.objects).getBody(head.digest)
+  const bytes = await createBodyStore(objects).getBody(head.digest)
   if (!bytes.ok) return [bytes.error]
   const document = readSignedBundle(bytes.value)
   const verified = document.ok ? verifyDocument(context, document.value) : document
@@ -68,7 +70,7 @@
 export async function showHistory (context: CommandContext, limit: number): Promise<CommandResult> {
   const settings = context.settings('tableAddress')
   if (!settings.ok) return [settings.error]
-  const heads = createHeadStore(context.createPlatformClients(settings.value).table)
+  const heads = createHeadStore(context.connectTable({ address: settings.value.tableAddress }))
   const stored = await heads.readHead()
   if (!stored.ok) return [stored.error]
   const newest = stored.value.head?.version ?? 0
--- a/command/siskinbeamctl/test/siskinbeamctl.test.ts
+++ b/command/siskinbeamctl/test/siskinbeamctl.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict'
 import { readFileSync } from 'node:fs'
 import { test } from 'node:test'
+import { HostRole, HostState } from '@siskinbeam/clients/createHostListClient'
 import { checkBundle } from '@siskinbeam/schema/checkBundle'
 import { createSigningKeyPair } from '@siskinbeam/signatures/signingKeys'
 import { createFakes } from './fakeSurroundings.js'
@@ -82,10 +83,10 @@
   const { run, submit, hosts, statuses } = createOperators()
   const digest = await submit('one', 1, null, 3)
   await run(`bundle rollout ${digest}`)
-  ;['a', 'b', 'c'].forEach((name, index) => hosts.push({ name, role: 'entry', address: `127.0.0.1:${index + 1}`, dataCentre: 'midland-east', state: 'live' }))
-  hosts.push({ name: 'server', role: 'server', address: '127.0.0.1:9', dataCentre: 'midland-east', state: 'live' })
-  const status = { host: 'a', boot: 'x', version: 1, digest, signers: [author.publicKey, approver.publicKey], leaving: false, inFlight: 0 }
-  statuses.set('127.0.0.1:1', status).set('127.0.0.1:2', { ...status, host: 'b', version: 0, digest: '' })
+  ;['a', 'b', 'c'].forEach((name, index) => hosts.push({ name, role: HostRole.Entry, address: `127.0.0.1:${index + 1}`, dataCentre: 'midland-east', state: HostState.Live }))
+  hosts.push({ name: 'server', role: HostRole.Server, address: '127.0.0.1:9', dataCentre: 'midland-east', state: HostState.Live })
+  const status = { host: 'a', bootId: 'x', bundleVersion: 1, bundleDigest: digest, signers: [author.publicKey, approver.publicKey], leaving: false, inFlight: 0, isolatedMilliseconds: 0 }
+  statuses.set('127.0.0.1:1', status).set('127.0.0.1:2', { ...status, host: 'b', bundleVersion: 0, bundleDigest: '' })
   const { output, exitCode } = await run('status')
   assert.deepEqual([exitCode, ...output.map(line => /state=(\w+)|same=.*/.exec(line)?.[0])], [0, 'state=same', 'state=differs', 'state=unreachable', `same=1 differs=1 unreachable=1 head=1 digest=${digest}`])
   assert.match(output[0]!, new RegExp(`version=1 digest=${digest} signers=`))
