Frame streamed bodies of every method

Cause: Node's client adds chunked framing only for some methods. A streamed body of a GET, or one whose content-length a guest listed in its connection header, went out without any framing, so the server read the body as further requests of the guest's choosing. Ruled out: buffered bodies, which get a content-length; POST, which Node frames itself. Change: a streamed body without content-length gets `transfer-encoding: chunked`. Before: the head at the server held neither header (two tests of guestFailures failed). After: both pass.

--- a/daemon/entry-host/src/requestPath/forwardHeaders.ts
+++ b/daemon/entry-host/src/requestPath/forwardHeaders.ts
@@ -23,6 +23,8 @@
   return {
     ...Object.fromEntries(kept),
     ...(body !== null && body.length > 0 ? { 'content-length': String(body.length) } : {}),
+    // Node frames the body of a GET only if told to; without framing the server takes it for more requests.
+    ...(body === null && !kept.some(([name]) => name === 'content-length') ? { 'transfer-encoding': 'chunked' } : {}),
     'x-forwarded-for': forwardedFor === undefined ? guestAddress : `${String(forwardedFor)}, ${guestAddress}`,
     'siskinbeam-request-id': exchange.requestId,
     'siskinbeam-deadline': String(Math.floor(remaining)),
