Never write a refusal in the place of an answer in progress

Cause: a parse error, an upgrade or a broken chunk on a connection with a request in progress wrote a refusal with outcome=not-run onto the connection. Node also emits no 'close' for responses of pipelined requests that wait for an earlier one, so their connections to servers stayed busy until the deadline, and for ever if the answer was being relayed. A request without a host header, or with an unknown expectation, was refused by Node without an account. Change: the listener knows the open responses of a connection. It closes the connection instead of refusing while one is open, and closes waiting responses with their connection. Host and expect are checked by identifyRequest. Before: the guest of a booking in progress got code=101 and code=111 with outcome=not-run; with the closing of waiting responses removed, the test of pipelined answers ends with "waited in vain: the connections to the server are free". After: the tests pass.

--- a/daemon/entry-host/src/guestListener.ts
+++ b/daemon/entry-host/src/guestListener.ts
@@ -31,11 +31,29 @@
     requestTimeout: 0,
     keepAliveTimeout: idleGuestMilliseconds,
     noDelay: true,
+    // Node's own refusal has no account.
+    requireHostHeader: false,
     insecureHTTPParser: false
-  }, onRequest)
+  })
+  const openResponses = new WeakMap<Duplex, Set<ServerResponse>>()
+  const serve = (request: IncomingMessage, response: ServerResponse): void => {
+    const { socket } = request
+    const responses = openResponses.get(socket) ?? new Set()
+    if (!openResponses.has(socket)) {
+      openResponses.set(socket, responses)
+      socket.once('close', () => setImmediate(closeUnsent, responses))
+    }
+    responses.add(response)
+    response.once('close', () => responses.delete(response))
+    onRequest(request, response)
+  }
+  server.on('request', serve)
+  server.on('checkExpectation', serve)
   const refuse = (socket: Duplex, code: ResultCode, reason: string): void => {
     onRefused(code, reason)
-    if (socket.writable) socket.end(formatRefusal(code, reason))
+    // The guest would take a refusal for the answer to its request in progress.
+    const isFree = (openResponses.get(socket)?.size ?? 0) === 0
+    if (socket.writable && isFree) socket.end(formatRefusal(code, reason))
     else socket.destroy()
   }
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -48,6 +66,14 @@
   return server
 }
 
+// Node emits no 'close' for the responses of pipelined requests that wait for an earlier one.
+function closeUnsent (responses: Set<ServerResponse>): void {
+  responses.forEach(response => {
+    response.destroy()
+    response.emit('close')
+  })
+}
+
 function formatRefusal (code: ResultCode, reason: string): string {
   const requestId = randomUUID()
   const { status = 400 } = describeResultCode(code)
--- a/daemon/entry-host/src/requestPath/identifyRequest.ts
+++ b/daemon/entry-host/src/requestPath/identifyRequest.ts
@@ -54,6 +54,8 @@
 export const identifyRequest: Filter = (exchange, next) => {
   const { request, host } = exchange
   exchange.requestId = randomUUID()
+  const wrongHead = checkHead(exchange)
+  if (wrongHead !== undefined) return accountFor(exchange, wrongHead)
   const wrongHeader = Object.entries(headerReaders)
     .map(([name, read]) => {
       const value = request.headers[name]
@@ -81,6 +83,12 @@
   return wrong === undefined ? next() : accountFor(exchange, wrong)
 }
 
+function checkHead ({ request: { headers, httpVersion } }: Exchange): Account | undefined {
+  if (headers.host === undefined && httpVersion !== '1.0') return headerInvalid('host', 'the host that is asked')
+  if (headers.expect !== undefined && headers.expect.toLowerCase() !== '100-continue') return headerInvalid('expect', '100-continue')
+  return undefined
+}
+
 function readClassAndDeadline (exchange: Exchange, routeClass: string, routeDeadline: number, classes: string[]): Account | undefined {
   const { headers } = exchange.request
   const asked = headers['siskinbeam-class']
