Bound and end streamed bodies

Cause: maximumBodyBytes was compared with content-length only, so a chunked body was not limited. A streamed body that its guest broke off left the request to the server open, since pipe doesn't end its target then. Change: streamed bytes are counted, and a body that is not completed cancels its send. An answer that comes before the end of the body closes the guest's connection. Before: 1,049,502 bytes passed a limit of 100,000; a booking broken off kept its connection to the server for the 8 s that the test waits. After: below 200,000 bytes, and the connection is freed.

--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -86,6 +86,10 @@
     maySend: () => maySend(dispatch, server),
     onProgress: connectionId => noteConnection(ConnectionEventKind.Progressed, connectionId),
     onFinished: connectionId => noteConnection(ConnectionEventKind.Finished, connectionId),
+    onBodyTooLarge: () => {
+      cancelOpen(dispatch)
+      accountFor(exchange, { code: ResultCode.BodyTooLarge, message: `the body is over ${service.rule.maximumBodyBytes} bytes`, outcome: Outcome.Unknown })
+    },
     onWritten: connectionId => {
       open.written = true
       open.connectionId = connectionId
--- a/daemon/entry-host/src/requestPath/forwardHeaders.ts
+++ b/daemon/entry-host/src/requestPath/forwardHeaders.ts
@@ -44,6 +44,7 @@
     return hopByHopHeaders.has(lowered) || listed.has(lowered) || serverSideHeaders.has(lowered) ? [] : [name, rawHeaders[position + 1] as string]
   })
   kept.push('siskinbeam-request-id', exchange.requestId)
-  if (exchange.host.leaving()) kept.push('connection', 'close')
+  // The rest of a body that came too late for the answer is not read.
+  if (exchange.host.leaving() || !exchange.request.complete) kept.push('connection', 'close')
   return kept
 }
--- a/daemon/entry-host/src/requestPath/sendAttempt.ts
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -38,6 +38,8 @@
   onProgress: (connectionId: number | undefined) => void
   /** The answer is complete, whatever it says. */
   onFinished: (connectionId: number | undefined) => void
+  /** A streamed body is longer than its service accepts. */
+  onBodyTooLarge: () => void
 }
 
 /** A send in progress. */
@@ -65,6 +67,11 @@
     headers: options.headers,
     agent: options.newConnection ? false : server.connections
   })
+  const cancel = (): void => {
+    settled = true
+    outgoing.on('error', () => {})
+    outgoing.destroy()
+  }
   const write = (): void => {
     if (settled) return
     if (!options.maySend()) {
@@ -74,7 +81,7 @@
     }
     written = true
     options.onWritten(connectionId)
-    if (exchange.body === null) exchange.request.pipe(outgoing)
+    if (exchange.body === null) streamBody(options, outgoing, cancel)
     else outgoing.end(exchange.body)
   }
   outgoing.on('socket', (socket: Socket) => {
@@ -117,11 +124,21 @@
     else settle({ kind: AttemptEnd.Broken, reason })
   })
   outgoing.on('close', () => settle({ kind: written ? AttemptEnd.Broken : AttemptEnd.NotStarted, reason: 'the connection closed' }))
-  return {
-    cancel: () => {
-      settled = true
-      outgoing.on('error', () => {})
-      outgoing.destroy()
-    }
-  }
+  return { cancel }
+}
+
+// A body that its guest does not complete can't be completed at the server either.
+function streamBody ({ exchange, onBodyTooLarge }: SendAttemptOptions, outgoing: ClientRequest, cancel: () => void): void {
+  const { request, service } = exchange
+  const limit = service?.rule.maximumBodyBytes ?? 0
+  let length = 0
+  request.on('data', (chunk: Buffer) => {
+    length += chunk.length
+    if (length <= limit) return
+    request.unpipe(outgoing)
+    cancel()
+    onBodyTooLarge()
+  })
+  request.once('close', () => { if (!request.complete) cancel() })
+  request.pipe(outgoing)
 }
