End a request whose body does not arrive by the deadline

Cause: the deadline timer starts with the dispatch, so a guest that stops in the middle of a buffered body was in flight for ever, and held up the shutdown of the host for all of the drain time. Change: the deadline also bounds the reading of the body.

--- a/daemon/entry-host/src/requestPath/readBody.ts
+++ b/daemon/entry-host/src/requestPath/readBody.ts
@@ -23,6 +23,10 @@
   if (stated !== undefined && Number(stated) > limit) return refuseBody(exchange, limit)
   if (!needsClaim(exchange) && (chunked || Number(stated) > longestBufferedBytes)) return next()
 
+  const timer = setTimeout(accountFor, Math.max(0, exchange.deadlineAt - exchange.host.now()), exchange, {
+    code: ResultCode.DeadlineExceededBeforeSend, message: 'the body did not arrive by the deadline'
+  })
+  exchange.onFinished.push(() => clearTimeout(timer))
   const chunks: Buffer[] = []
   let length = 0
   request.on('data', (chunk: Buffer) => {
@@ -35,6 +39,7 @@
     }
   })
   request.on('end', () => {
+    clearTimeout(timer)
     if (exchange.finished) return
     exchange.body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
     next()
