Do not blame a server for a guest that leaves

Cause: when a guest left during the answer, or before the answer to a booking without a key, the answer was destroyed and counted as truncated by the server: a failure towards ejection and a death check each. An answer that was parsed whole but waited for a slow guest was neither read nor destroyed when the guest left, so its connection stayed busy and its claim was never settled. Change: a third end, cancelled, which counts nothing against the server; a whole answer is read to its end. A server that sent nothing until the deadline while the guest had room is still blamed. Before: consecutiveFailures was not 0 after guests that left.

--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -94,6 +94,8 @@
     host.metrics.count('answers_total')
     host.metrics.recordMilliseconds('answer_milliseconds', host.now() - exchange.receivedAt)
   },
+  [AnswerEnd.Cancelled]: ({ host, service }, { server, startedAt }) =>
+    feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, completion: CompletionKind.Cancelled, latencyMilliseconds: host.now() - startedAt }),
   [AnswerEnd.Truncated]: (dispatch, open) => {
     endFailed(dispatch, open)
     dispatch.host.metrics.count('answers_truncated_total')
--- a/daemon/entry-host/src/requestPath/relayAnswer.ts
+++ b/daemon/entry-host/src/requestPath/relayAnswer.ts
@@ -7,8 +7,10 @@
 /** How an answer ended at the server's side. */
 export enum AnswerEnd {
   Whole = 'whole',
-  /** The server ended the answer early, or it was cancelled since the guest is gone. */
-  Truncated = 'truncated'
+  /** The server ended the answer early, or sent nothing more until the deadline. */
+  Truncated = 'truncated',
+  /** The guest left first, or read too slowly, for which the server is not to blame. */
+  Cancelled = 'cancelled'
 }
 
 export interface RelayAnswerOptions {
@@ -22,15 +24,23 @@
 
 /** Relays one answer and ends the exchange. */
 export function relayAnswer ({ exchange, answer, keepReading, onChunk, onEnd }: RelayAnswerOptions): void {
-  const { response } = exchange
+  const { response, host } = exchange
   let ended = false
+  let brokenEnd = AnswerEnd.Truncated
+  const cancel = (): void => {
+    // Once its guest is gone, an answer that is already here is read to its end, which frees its connection.
+    if (keepReading || answer.complete) return answer.resume() as unknown as void
+    const isStalled = host.now() >= exchange.deadlineAt && response.writableLength === 0
+    if (!isStalled) brokenEnd = AnswerEnd.Cancelled
+    answer.destroy()
+  }
   const end = (how: AnswerEnd): void => {
     if (ended) return
     ended = true
     onEnd(how)
   }
   if (!response.destroyed && !exchange.finished) response.writeHead(answer.statusCode ?? 502, answer.statusMessage, makeGuestHeaders(exchange, answer))
-  else if (!keepReading) answer.destroy()
+  else cancel()
   answer.on('data', (chunk: Buffer) => {
     onChunk?.(chunk)
     if (exchange.finished || response.destroyed) return
@@ -39,9 +49,7 @@
   response.on('drain', () => answer.resume())
   response.on('close', () => {
     finishExchange(exchange)
-    if (ended || answer.complete) return
-    if (keepReading) answer.resume()
-    else answer.destroy()
+    if (!ended) cancel()
   })
   answer.on('end', () => {
     if (!answer.complete) return
@@ -51,9 +59,9 @@
   })
   answer.on('error', () => {})
   answer.on('close', () => {
-    if (answer.complete) return
+    if (ended) return
     if (!exchange.finished) response.destroy()
-    end(AnswerEnd.Truncated)
+    end(brokenEnd)
     finishExchange(exchange)
   })
 }
