End claims whose guest has left

Cause: the deadline timer ends with the exchange, and a broken send of a finished exchange was ignored. A claim in the phase Sent whose guest left, and whose server then broke or never answered, stayed open for ever: its row was not marked Abandoned, and a shutdown waited for it for the whole drain time. A streamed request of a guest that left was not cancelled. Change: a broken send fails the claim also without a guest, and the deadline holds also without one. Before: "waited in vain: the claim has ended" after 8 s. After: the claim ends, at a deadline of 500 ms, when the server breaks, is silent, or sends nonsense.

--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -116,7 +116,9 @@
 // Sends again if the budget and the rules of retries allow it, else fails with the account given.
 function tryAgain (dispatch: Dispatch, cause: RetryCause, account: Account): void {
   const { exchange, host, service } = dispatch
-  if (exchange.finished || dispatch.answered) return
+  if (dispatch.answered) return
+  // A guest that left is not answered, but its claim still has to end.
+  if (exchange.finished) return exchange.claim?.sendFailed(account.code)
   if (dispatch.open.size > 0) return
   const bodyIsWhole = exchange.body !== null
   const decision = bodyIsWhole
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -147,7 +147,7 @@
     return finishExchange(exchange)
   }
   if (claim !== undefined && mayHaveStarted(dispatch)) {
-    setTimeout(cancelOpen, lateAnswerMilliseconds, dispatch).unref()
+    cancelLate(dispatch)
     return claim.sendFailed(ResultCode.ServerTimedOut)
   }
   const unsent = [...dispatch.open].filter(({ written }) => !written).length
@@ -158,14 +158,23 @@
     : { code: ResultCode.DeadlineExceededBeforeSend, message: 'the deadline passed before the request was sent' })
 }
 
+function cancelLate (dispatch: Dispatch): void {
+  setTimeout(cancelOpen, lateAnswerMilliseconds, dispatch).unref()
+}
+
 function onGuestGone (dispatch: Dispatch): void {
   const { exchange } = dispatch
   if (exchange.finished || dispatch.answered) return
   if (exchange.claim !== undefined) {
-    exchange.claim.guestLeft()
+    const { claim } = exchange
+    claim.guestLeft()
+    setTimeout(() => {
+      claim.sendFailed(ResultCode.ServerTimedOut)
+      cancelLate(dispatch)
+    }, Math.max(0, exchange.deadlineAt - dispatch.host.now()))
     return finishExchange(exchange)
   }
   // Cancelling a request that is not idempotent could leave it half done.
-  if (exchange.route?.idempotent === true) cancelOpen(dispatch)
+  if (exchange.route?.idempotent === true || !exchange.request.complete) cancelOpen(dispatch)
   accountFor(exchange, { code: ResultCode.GuestCancelled, message: 'the guest closed its connection' })
 }
