Count an exchange until its last byte has left

Cause: an exchange ended when its last byte was given to Node, and a host that stops then closes the guests' connections, with what Node still holds for a slow guest. Change: the count of exchanges in flight, for which a stopping host waits, ends with the response.

--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -147,9 +147,12 @@
     exchanges += 1
     inFlight += 1
     const exchange = createExchange(host, request, response, String(exchanges))
-    exchange.onFinished.push(() => { inFlight -= 1 })
-    // Whatever the filters do, an exchange ends with its connection.
-    response.on('close', () => setImmediate(endAbandoned, exchange))
+    // Whatever the filters do, an exchange ends with its connection. It is in flight until its last byte
+    // has left, since a host that stops closes the connections of guests.
+    response.on('close', () => {
+      inFlight -= 1
+      setImmediate(endAbandoned, exchange)
+    })
     serveExchange(exchange)
   }
   const listener = createGuestListener({
