Survive status lines that Node can read and not write, and notice resets of unframed answers

Cause: Node's parser passes on control characters in the reason phrase and status codes below 100, and its writeHead throws at them: the exception ended the host. Node also marks an answer that ends with its connection as complete when the connection is reset, so a cut answer reached the guest whole. Ruled out: random bytes, heads with absurd headers, 1xx answers, second answers and HEAD, which were handled (tests of the same file that passed before). Change: such a status line is a malformed answer; an error of the connection destroys its answer. Before: 5 of the 17 tests of serverAnswers failed, with ERR_INVALID_CHAR and ERR_HTTP_INVALID_STATUS_CODE as uncaught exceptions and 'cut at 30' read as whole. After: 17 pass in 9 s.

--- a/daemon/entry-host/src/requestPath/sendAttempt.ts
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -48,6 +48,9 @@
   cancel: () => void
 }
 
+const lowestFinalStatus = 200
+const unwritableText = /[^\t\x20-\x7e\x80-\xff]/
+
 /** Sends the request once. `onOutcome` is called exactly once unless the attempt is cancelled. */
 export function sendAttempt (options: SendAttemptOptions): Attempt {
   const { exchange, server, onOutcome } = options
@@ -93,9 +96,17 @@
     else start()
   })
   outgoing.on('response', answer => {
+    // Node calls an answer that ends with its connection complete, also when the connection was reset.
+    outgoing.on('error', error => answer.destroy(error))
     options.onProgress(connectionId)
     answer.on('data', () => options.onProgress(connectionId))
     answer.on('end', () => options.onFinished(connectionId))
+    // Node's parser passes on what its writer throws at.
+    if ((answer.statusCode ?? 0) < lowestFinalStatus || unwritableText.test(answer.statusMessage ?? '')) {
+      outgoing.destroy()
+      settle({ kind: AttemptEnd.Malformed, reason: 'the status line is invalid' })
+      return
+    }
     const echoed = answer.headers['siskinbeam-request-id']
     if (echoed !== undefined && echoed !== exchange.requestId) {
       outgoing.destroy()
