Close the connections of servers that left the bundle

Cause: nothing closed them but the idle time of 30 s, so a removed server kept its connections, and its share of them, after the change. Change: a server that is not in the new bundle is retired: idle connections are closed at once and busy ones after their exchange.

--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -175,6 +175,7 @@
         host,
         dataCentre: options.dataCentre
       })
+      retireServers(active?.services, services)
       active = { bundle, digest, findRoute: createRouteFinder(bundle), services }
       logger.info('bundle in force', { name: bundle.name, version: bundle.version, digest })
     },
@@ -192,6 +193,12 @@
   }
 }
 
+function retireServers (before: ActiveBundle['services'] = new Map(), after: ActiveBundle['services']): void {
+  before.forEach(({ servers }, service) => servers.forEach((server, name) => {
+    if (after.get(service)?.servers.get(name) !== server) server.connections.retire()
+  }))
+}
+
 function createExchange (host: EntryHost, request: IncomingMessage, response: ServerResponse, number: string): Exchange {
   return {
     host,
--- a/daemon/entry-host/src/servers/serverConnections.ts
+++ b/daemon/entry-host/src/servers/serverConnections.ts
@@ -20,6 +20,7 @@
   private readonly socketsById = new Map<number, Socket>()
   private readonly idleListeners = new WeakMap<Duplex, () => void>()
   private lastId = 0
+  private retired = false
 
   constructor (options: ServerConnectionsOptions) {
     super({
@@ -59,10 +60,16 @@
     Object.values(this.freeSockets).flatMap(sockets => sockets ?? []).forEach(socket => socket.destroy())
   }
 
+  /** Closes idle connections now and busy ones after their exchange; for a server that left the bundle. */
+  retire (): void {
+    this.retired = true
+    this.closeIdle()
+  }
+
   // Bytes that arrive on an idle connection belong to no request. The next request would take them for
   // its answer, so the connection is closed at the first of them.
   override keepSocketAlive (socket: Duplex): boolean {
-    if (socket.readableLength > 0 || socket.writableLength > 0) return false
+    if (this.retired || socket.readableLength > 0 || socket.writableLength > 0) return false
     const destroySocket = (): void => { socket.destroy() }
     socket.on('data', destroySocket)
     ;(socket as Socket).setTimeout(idleMilliseconds, destroySocket)
