Test the closing of connections with unasked bytes, and answers that wait for their guest

Cause: with the closing of idle connections that receive bytes removed, all tests of requestPath and serverAnswers passed, since Node drops such bytes while a connection is idle. The first new test asks for the closing itself. The second guards the count of exchanges in flight: with the count that ended with the exchange, it fails ('waited in vain: the request is answered': in flight is 0 while answers wait in the host, until Node no longer reads requests).

--- a/daemon/entry-host/test/guestFailures.test.ts
+++ b/daemon/entry-host/test/guestFailures.test.ts
@@ -255,3 +255,28 @@
     const { received } = await exchangeRaw(path.guestAddress, paths.map(asked => get(asked)).join(''))
     assert.deepEqual(received.split('HTTP/1.1 200 OK').slice(1).map(answer => answer.split('\r\n\r\n')[1]), paths)
   }))
+
+test('an answer counts as in flight until the guest has taken it, so that a host that stops does not cut it off', () => {
+  // Below the size at which Node asks the host to wait, so that the exchange goes on to its end.
+  const answer = answerText('x'.repeat(10_000))
+  return withPath((socket, text) => { socket.write(text.includes('/alive') ? answerText('alive') : answer) }, async path => {
+    const readInFlight = (): number => path.host.metrics.snapshot()['in_flight'] ?? 0
+    const guest = openGuest(path.guestAddress)
+    guest.socket.pause()
+    let asked = 0
+    let polls = 0
+    // The kernel takes some megabytes before an answer stays in the host.
+    while (polls < 40 && asked < 2_000) {
+      asked += 1
+      guest.socket.write(get('/desk/limits'))
+      await waitUntil('the request is answered', () => path.host.metrics.snapshot()['answers_total'] === asked)
+      for (polls = 0; polls < 40 && readInFlight() > 0; polls += 1) await pause(1)
+    }
+    assert.ok(readInFlight() > 0, `none of ${asked} answers waits`)
+    guest.socket.resume()
+    await waitUntil('the guest has taken all', () => readInFlight() === 0)
+    await waitUntil('all answers', () => guest.received().split('HTTP/1.1 200').length - 1 === asked && guest.received().endsWith('xxx'))
+    await checkServes(path, 'alive')
+    guest.socket.destroy()
+  })
+})
--- a/daemon/entry-host/test/serverAnswers.test.ts
+++ b/daemon/entry-host/test/serverAnswers.test.ts
@@ -162,3 +162,19 @@
       assert.ok(reading === Reading.Account || got === '', got)
     })
   }))
+
+test('a connection on which a server sent bytes unasked is closed and not used again', () => {
+  const sockets: Socket[] = []
+  return withAnswers(async (path, setAnswer) => {
+    setAnswer(socket => {
+      sockets.push(socket)
+      socket.write(stated)
+      // Later than the answer, when the connection is idle.
+      if (sockets.length === 1) setTimeout(() => socket.write('H'), 30)
+    })
+    await ask(path, getOnce)
+    await waitUntil('the connection is closed', () => sockets[0]?.destroyed === true)
+    assert.equal((await ask(path, getOnce)).body, body)
+    assert.notEqual(sockets[1], sockets[0])
+  })
+})
