Give answers of the host itself a request id

Cause: the design says that every response carries siskinbeam-request-id; those of /.siskinbeam/ did not.

--- a/daemon/entry-host/src/requestPath/answerOwnPaths.ts
+++ b/daemon/entry-host/src/requestPath/answerOwnPaths.ts
@@ -1,6 +1,8 @@
 // Answers what guests ask of the entry host itself. These paths are served also without a bundle.
+import { randomUUID } from 'node:crypto'
 import type { EntryHost } from '../entryHost.js'
 import { finishExchange, type Exchange, type Filter } from './exchange.js'
+import { isRequestId } from './identifyRequest.js'
 
 const ownPrefix = '/.siskinbeam/'
 
@@ -27,8 +29,10 @@
   const { host, request, response } = exchange
   const { status, body } = ownPaths[exchange.path]?.(host, exchange) ?? { status: 404, body: { message: 'unknown path' } }
   const text = JSON.stringify(body)
+  const stated = request.headers['siskinbeam-request-id']
+  const requestId = typeof stated === 'string' && isRequestId(stated) ? stated : randomUUID()
   request.resume()
-  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'cache-control': 'no-store' })
+  response.writeHead(status, { 'siskinbeam-request-id': requestId, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'cache-control': 'no-store' })
   response.end(text)
   finishExchange(exchange)
 }
--- a/daemon/entry-host/src/requestPath/identifyRequest.ts
+++ b/daemon/entry-host/src/requestPath/identifyRequest.ts
@@ -19,10 +19,15 @@
 const readWholeNumber = (value: string, highest: number): number | undefined =>
   /^\d{1,9}$/.test(value) && Number(value) <= highest ? Number(value) : undefined
 
+/** Whether a guest may give its request this id. */
+export function isRequestId (value: string): boolean {
+  return value.length <= longestRequestId && visibleText.test(value)
+}
+
 // A request id of the guest is kept, since it joins the logs of both sides.
 const headerReaders: Record<string, HeaderReader> = {
   'siskinbeam-request-id': (exchange, value) => {
-    if (value.length > longestRequestId || !visibleText.test(value)) return headerInvalid('siskinbeam-request-id', `at most ${longestRequestId} visible characters`)
+    if (!isRequestId(value)) return headerInvalid('siskinbeam-request-id', `at most ${longestRequestId} visible characters`)
     exchange.requestId = value
     return undefined
   },
