Cancel a booking without a key at its deadline when its guest has left

Cause: the deadline timer ends with the exchange, and a request that is not idempotent is not cancelled when its guest leaves. A server that never answered then held a connection of the host for ever. Before: 'waited in vain: the connection to the server is closed' after 8 s at a deadline of 300 ms. After: freed at the deadline.

--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -165,16 +165,18 @@
 function onGuestGone (dispatch: Dispatch): void {
   const { exchange } = dispatch
   if (exchange.finished || dispatch.answered) return
+  const remaining = Math.max(0, exchange.deadlineAt - dispatch.host.now())
   if (exchange.claim !== undefined) {
     const { claim } = exchange
     claim.guestLeft()
     setTimeout(() => {
       claim.sendFailed(ResultCode.ServerTimedOut)
       cancelLate(dispatch)
-    }, Math.max(0, exchange.deadlineAt - dispatch.host.now()))
+    }, remaining)
     return finishExchange(exchange)
   }
-  // Cancelling a request that is not idempotent could leave it half done.
+  // Cancelling a request that is not idempotent could leave it half done, so it has until its deadline.
   if (exchange.route?.idempotent === true || !exchange.request.complete) cancelOpen(dispatch)
+  else setTimeout(cancelOpen, remaining, dispatch)
   accountFor(exchange, { code: ResultCode.GuestCancelled, message: 'the guest closed its connection' })
 }
