--- a/daemon/entry-host/test/guestFailures.test.ts
+++ b/daemon/entry-host/test/guestFailures.test.ts
@@ -107,6 +107,15 @@
     await checkServes(path, 'alive')
   }))
 
+test('a booking without a key whose guest has left frees its connection at the deadline when the server never answers', () =>
+  withPath(answerAlive, async (path, server) => {
+    const guest = openGuest(path.guestAddress, post('/desk/bookings', 'lorry', 'siskinbeam-deadline: 300\r\n'))
+    await waitUntil('the booking is at the server', () => server.requests.join('').includes('lorry'))
+    guest.socket.destroy()
+    await waitUntil('the connection to the server is closed', () => countBusy(path) === 0)
+    await checkServes(path, 'alive')
+  }))
+
 test('a server is not blamed for guests that leave while an answer is relayed, or before it comes', async () => {
   const late: Socket[] = []
   await withPath((socket, text) => {
@@ -220,6 +229,13 @@
     assert.equal(server.requests.length, 0)
   }))
 
+test('answers of the host itself carry the request id of the guest, or a new one', () =>
+  withPath(answerAlive, async path => {
+    const answers = await Promise.all(['', 'siskinbeam-request-id: mine\r\n'].map(header => exchangeRaw(path.guestAddress, get('/.siskinbeam/addresses', header))))
+    assert.match(answers[0]?.received ?? '', /siskinbeam-request-id: [0-9a-f-]{36}\r\n/)
+    assert.match(answers[1]?.received ?? '', /siskinbeam-request-id: mine\r\n/)
+  }))
+
 test('requests that Node would refuse without an account get one', () =>
   withPath(answerAlive, async path => {
     const texts = ['GET /desk/limits HTTP/1.1\r\n\r\n', get('/desk/limits', 'expect: a-miracle\r\n')]
