Test guests that leave while they wait for admission, and keep runs of the process test apart

Now those that wait leave first. The address of the process under test depends on the id of the run, so that two runs don't meet.

--- a/daemon/entry-host/test/guestFailures.test.ts
+++ b/daemon/entry-host/test/guestFailures.test.ts
@@ -107,6 +107,23 @@
     await checkServes(path, 'alive')
   }))
 
+test('a guest that leaves while it waits for admission gives up its place, and is not sent', () =>
+  withPath(answerAlive, async (path, server) => {
+    const { admission } = readService(path)
+    const guests = Array.from({ length: 12 }, (_, position) => openGuest(path.guestAddress, post('/desk/bookings', `lorry ${position}.`)))
+    await waitUntil('requests wait', () => admission.queue.length > 0 && admission.queue.length + admission.inFlight === 12)
+    const running = admission.inFlight
+    await waitUntil('the others are at the server', () => server.requests.filter(text => text.startsWith('POST')).length === running)
+    // Those that wait leave first; else the places of the others would become free for them.
+    const [runningGuests, waitingGuests] = [true, false].map(isSent => guests.filter((_, position) => server.requests.join('').includes(`lorry ${position}.`) === isSent))
+    waitingGuests?.forEach(({ socket }) => socket.destroy())
+    await waitUntil('nobody waits', () => admission.queue.length === 0)
+    runningGuests?.forEach(({ socket }) => socket.destroy())
+    await waitUntil('nothing runs', () => admission.inFlight === 0)
+    await checkServes(path, 'alive')
+    assert.equal(server.requests.filter(text => text.startsWith('POST')).length, running)
+  }))
+
 test('a booking without a key whose guest has left frees its connection at the deadline when the server never answers', () =>
   withPath(answerAlive, async (path, server) => {
     const guest = openGuest(path.guestAddress, post('/desk/bookings', 'lorry', 'siskinbeam-deadline: 300\r\n'))
--- a/daemon/entry-host/test/hostProcess.test.ts
+++ b/daemon/entry-host/test/hostProcess.test.ts
@@ -21,7 +21,8 @@
     else socket.write(answerText(text.includes('/large') ? largeAnswer : 'alive'))
   })
   const bundle = makeBundle([server.address], service => service.routes.forEach((route: { deadlineMilliseconds: number }) => { route.deadlineMilliseconds = 30_000 }))
-  host = await startProcess('127.202.7.1', bundle, 1)
+  // Two runs on one machine don't meet.
+  host = await startProcess(`127.202.${process.pid % 250}.${1 + process.pid % 240}`, bundle, 1)
   await waitUntilServing()
 })
 after(async () => { await Promise.all([host.stop(), server.stop()]) })
