--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -147,9 +147,12 @@
     exchanges += 1
     inFlight += 1
     const exchange = createExchange(host, request, response, String(exchanges))
-    exchange.onFinished.push(() => { inFlight -= 1 })
-    // Whatever the filters do, an exchange ends with its connection.
-    response.on('close', () => setImmediate(endAbandoned, exchange))
+    // Whatever the filters do, an exchange ends with its connection. It is in flight until its last byte
+    // has left, since a host that stops closes the connections of guests.
+    response.on('close', () => {
+      inFlight -= 1
+      setImmediate(endAbandoned, exchange)
+    })
     serveExchange(exchange)
   }
   const listener = createGuestListener({
@@ -172,6 +175,7 @@
         host,
         dataCentre: options.dataCentre
       })
+      retireServers(active?.services, services)
       active = { bundle, digest, findRoute: createRouteFinder(bundle), services }
       logger.info('bundle in force', { name: bundle.name, version: bundle.version, digest })
     },
@@ -189,6 +193,12 @@
   }
 }
 
+function retireServers (before: ActiveBundle['services'] = new Map(), after: ActiveBundle['services']): void {
+  before.forEach(({ servers }, service) => servers.forEach((server, name) => {
+    if (after.get(service)?.servers.get(name) !== server) server.connections.retire()
+  }))
+}
+
 function createExchange (host: EntryHost, request: IncomingMessage, response: ServerResponse, number: string): Exchange {
   return {
     host,
--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -98,6 +98,8 @@
     host.metrics.count('answers_total')
     host.metrics.recordMilliseconds('answer_milliseconds', host.now() - exchange.receivedAt)
   },
+  [AnswerEnd.Cancelled]: ({ host, service }, { server, startedAt }) =>
+    feedChoice(host, service, { kind: ChoiceEventKind.Completed, server: server.place.name, completion: CompletionKind.Cancelled, latencyMilliseconds: host.now() - startedAt }),
   [AnswerEnd.Truncated]: (dispatch, open) => {
     endFailed(dispatch, open)
     dispatch.host.metrics.count('answers_truncated_total')
@@ -118,7 +120,9 @@
 // Sends again if the budget and the rules of retries allow it, else fails with the account given.
 function tryAgain (dispatch: Dispatch, cause: RetryCause, account: Account): void {
   const { exchange, host, service } = dispatch
-  if (exchange.finished || dispatch.answered) return
+  if (dispatch.answered) return
+  // A guest that left is not answered, but its claim still has to end.
+  if (exchange.finished) return exchange.claim?.sendFailed(account.code)
   if (dispatch.open.size > 0) return
   const bodyIsWhole = exchange.body !== null
   const decision = bodyIsWhole
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -87,6 +87,10 @@
     maySend: () => maySend(dispatch, server),
     onProgress: connectionId => noteConnection(ConnectionEventKind.Progressed, connectionId),
     onFinished: connectionId => noteConnection(ConnectionEventKind.Finished, connectionId),
+    onBodyTooLarge: () => {
+      cancelOpen(dispatch)
+      accountFor(exchange, { code: ResultCode.BodyTooLarge, message: `the body is over ${service.rule.maximumBodyBytes} bytes`, outcome: Outcome.Unknown })
+    },
     onWritten: connectionId => {
       open.written = true
       open.connectionId = connectionId
@@ -141,7 +145,7 @@
     if (written) feedHealth(host, service, { kind: HealthEventKind.Failed, server: server.place.name })
   })
   if (claim !== undefined && mayHaveStarted(dispatch)) {
-    setTimeout(cancelOpen, lateAnswerMilliseconds, dispatch).unref()
+    cancelLate(dispatch)
     return claim.sendFailed(ResultCode.ServerTimedOut)
   }
   const unsent = [...dispatch.open].filter(({ written }) => !written).length
@@ -152,14 +156,25 @@
     : { code: ResultCode.DeadlineExceededBeforeSend, message: 'the deadline passed before the request was sent' })
 }
 
+function cancelLate (dispatch: Dispatch): void {
+  setTimeout(cancelOpen, lateAnswerMilliseconds, dispatch).unref()
+}
+
 function onGuestGone (dispatch: Dispatch): void {
   const { exchange } = dispatch
   if (exchange.finished || dispatch.answered) return
+  const remaining = Math.max(0, exchange.deadlineAt - dispatch.host.now())
   if (exchange.claim !== undefined) {
-    exchange.claim.guestLeft()
+    const { claim } = exchange
+    claim.guestLeft()
+    setTimeout(() => {
+      claim.sendFailed(ResultCode.ServerTimedOut)
+      cancelLate(dispatch)
+    }, remaining)
     return finishExchange(exchange)
   }
-  // Cancelling a request that is not idempotent could leave it half done.
-  if (exchange.route?.idempotent === true) cancelOpen(dispatch)
+  // Cancelling a request that is not idempotent could leave it half done, so it has until its deadline.
+  if (exchange.route?.idempotent === true || !exchange.request.complete) cancelOpen(dispatch)
+  else setTimeout(cancelOpen, remaining, dispatch)
   accountFor(exchange, { code: ResultCode.GuestCancelled, message: 'the guest closed its connection' })
 }
--- a/daemon/entry-host/src/requestPath/identifyRequest.ts
+++ b/daemon/entry-host/src/requestPath/identifyRequest.ts
@@ -19,10 +19,15 @@
 const readWholeNumber = (value: string, highest: number): number | undefined =>
   /^\d{1,9}$/.test(value) && Number(value) <= highest ? Number(value) : undefined
 
+/** Whether a guest may give its request this id. */
+export function isRequestId (value: string): boolean {
+  return value.length <= longestRequestId && visibleText.test(value)
+}
+
 // A request id of the guest is kept, since it joins the logs of both sides.
 const headerReaders: Record<string, HeaderReader> = {
   'siskinbeam-request-id': (exchange, value) => {
-    if (value.length > longestRequestId || !visibleText.test(value)) return headerInvalid('siskinbeam-request-id', `at most ${longestRequestId} visible characters`)
+    if (!isRequestId(value)) return headerInvalid('siskinbeam-request-id', `at most ${longestRequestId} visible characters`)
     exchange.requestId = value
     return undefined
   },
@@ -54,6 +59,8 @@
 export const identifyRequest: Filter = (exchange, next) => {
   const { request, host } = exchange
   exchange.requestId = randomUUID()
+  const wrongHead = checkHead(exchange)
+  if (wrongHead !== undefined) return accountFor(exchange, wrongHead)
   const wrongHeader = Object.entries(headerReaders)
     .map(([name, read]) => {
       const value = request.headers[name]
@@ -81,6 +88,12 @@
   return wrong === undefined ? next() : accountFor(exchange, wrong)
 }
 
+function checkHead ({ request: { headers, httpVersion } }: Exchange): Account | undefined {
+  if (headers.host === undefined && httpVersion !== '1.0') return headerInvalid('host', 'the host that is asked')
+  if (headers.expect !== undefined && headers.expect.toLowerCase() !== '100-continue') return headerInvalid('expect', '100-continue')
+  return undefined
+}
+
 function readClassAndDeadline (exchange: Exchange, routeClass: string, routeDeadline: number, classes: string[]): Account | undefined {
   const { headers } = exchange.request
   const asked = headers['siskinbeam-class']
--- a/daemon/entry-host/src/requestPath/sendAttempt.ts
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -38,6 +38,8 @@
   onProgress: (connectionId: number | undefined) => void
   /** The answer is complete, whatever it says. */
   onFinished: (connectionId: number | undefined) => void
+  /** A streamed body is longer than its service accepts. */
+  onBodyTooLarge: () => void
 }
 
 /** A send in progress. */
@@ -46,6 +48,9 @@
   cancel: () => void
 }
 
+const lowestFinalStatus = 200
+const unwritableText = /[^\t\x20-\x7e\x80-\xff]/
+
 /** Sends the request once. `onOutcome` is called exactly once unless the attempt is cancelled. */
 export function sendAttempt (options: SendAttemptOptions): Attempt {
   const { exchange, server, onOutcome } = options
@@ -65,6 +70,11 @@
     headers: options.headers,
     agent: options.newConnection ? false : server.connections
   })
+  const cancel = (): void => {
+    settled = true
+    outgoing.on('error', () => {})
+    outgoing.destroy()
+  }
   const write = (): void => {
     if (settled) return
     if (!options.maySend()) {
@@ -74,7 +84,7 @@
     }
     written = true
     options.onWritten(connectionId)
-    if (exchange.body === null) exchange.request.pipe(outgoing)
+    if (exchange.body === null) streamBody(options, outgoing, cancel)
     else outgoing.end(exchange.body)
   }
   outgoing.on('socket', (socket: Socket) => {
@@ -86,9 +96,17 @@
     else start()
   })
   outgoing.on('response', answer => {
+    // Node calls an answer that ends with its connection complete, also when the connection was reset.
+    outgoing.on('error', error => answer.destroy(error))
     options.onProgress(connectionId)
     answer.on('data', () => options.onProgress(connectionId))
     answer.on('end', () => options.onFinished(connectionId))
+    // Node's parser passes on what its writer throws at.
+    if ((answer.statusCode ?? 0) < lowestFinalStatus || unwritableText.test(answer.statusMessage ?? '')) {
+      outgoing.destroy()
+      settle({ kind: AttemptEnd.Malformed, reason: 'the status line is invalid' })
+      return
+    }
     const echoed = answer.headers['siskinbeam-request-id']
     if (echoed !== undefined && echoed !== exchange.requestId) {
       outgoing.destroy()
@@ -117,11 +135,21 @@
     else settle({ kind: AttemptEnd.Broken, reason })
   })
   outgoing.on('close', () => settle({ kind: written ? AttemptEnd.Broken : AttemptEnd.NotStarted, reason: 'the connection closed' }))
-  return {
-    cancel: () => {
-      settled = true
-      outgoing.on('error', () => {})
-      outgoing.destroy()
-    }
-  }
+  return { cancel }
+}
+
+// A body that its guest does not complete can't be completed at the server either.
+function streamBody ({ exchange, onBodyTooLarge }: SendAttemptOptions, outgoing: ClientRequest, cancel: () => void): void {
+  const { request, service } = exchange
+  const limit = service?.rule.maximumBodyBytes ?? 0
+  let length = 0
+  request.on('data', (chunk: Buffer) => {
+    length += chunk.length
+    if (length <= limit) return
+    request.unpipe(outgoing)
+    cancel()
+    onBodyTooLarge()
+  })
+  request.once('close', () => { if (!request.complete) cancel() })
+  request.pipe(outgoing)
 }
