--- a/bench/demo/src/runDemo.ts
+++ b/bench/demo/src/runDemo.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from 'node:fs'
 import { performance } from 'node:perf_hooks'
 import { Command } from 'commander'
+import { readCommittedClaims } from '@siskinbeam/bench/checkRunHistory'
 import { startCluster, type Cluster } from '@siskinbeam/bench/cluster/startCluster'
 import { createGuests } from '@siskinbeam/bench/load/createGuests'
 import { driveLoad } from '@siskinbeam/bench/load/driveLoad'
@@ -80,6 +81,8 @@
   return summarizeDemo({
     requests,
     runs: readRunLog(cluster.runLog),
+    claims: await readCommittedClaims(cluster.plan.tableControl),
+    disturbedAddresses: cluster.disturbedAddresses,
     events,
     counters: await Promise.all(cluster.entryHosts.filter(({ process }) => process.running()).map(host => readCounters(cluster, host))),
     versions: await readVersions(cluster)
--- a/bench/demo/test/summarizeDemo.test.ts
+++ b/bench/demo/test/summarizeDemo.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { SendEnd, type GuestRequest, type GuestSend } from '@siskinbeam/bench/load/invocation'
+import { ClaimRowState } from '@siskinbeam/request-claims/claimRow'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { demoWorkload } from '../src/demoWorkload.js'
 import { isDemoPassed, renderSummary, summarizeDemo, type DemoSummary } from '../src/summarizeDemo.js'
@@ -14,6 +15,8 @@
 const summarize = (requests: GuestRequest[], ranKeys: string[], version: number | null = 2): DemoSummary => summarizeDemo({
   requests,
   runs: ranKeys.flatMap(key => [makeRun(key, null), makeRun(key, 5)]),
+  claims: ranKeys.map(key => ({ key, state: ClaimRowState.Claimed, attemptId: 'entry-1/b/1', committedAt: 0 })),
+  disturbedAddresses: new Set(),
   events: { rolloutMilliseconds: 400, stoppedCounters: { probes: 2, violations: 0 }, stoppedExitCode: 0 },
   counters: [{ probes: 3, violations: 0 }],
   versions: [{ host: 'entry-1', version: 2 }, { host: 'entry-2', version }]
--- a/bundle/schema/src/checkBundle.ts
+++ b/bundle/schema/src/checkBundle.ts
@@ -9,8 +9,10 @@
 const invalid = (key: string, message: string, expected: string): CodedError =>
   ({ code: ResultCode.BundleInvalid, key, message, expected })
 
-const findRepeated = (values: string[]): string[] =>
-  values.filter((value, position) => values.indexOf(value) !== position)
+const findRepeated = (values: string[]): string[] => {
+  const seen = new Set<string>()
+  return values.filter(value => seen.size === seen.add(value).size)
+}
 
 const checkNamesUnique: Rule = bundle => [
   ...findRepeated(bundle.dataCentres.map(({ name }) => name)).map(name => invalid('dataCentres', `data centre ${name} is listed twice`, 'unique names')),
--- a/core/metrics/src/createMetrics.ts
+++ b/core/metrics/src/createMetrics.ts
@@ -38,7 +38,7 @@
     ...counters,
     ...[...gauges].map(([name, read]): [string, number] => [name, read()]),
     ...[...histograms].flatMap(([name, histogram]): Array<[string, number]> => [
-      ...percentiles.map((at): [string, number] => [`${name}{quantile="${at / 100}"}`, percentile(histogram, at)]),
+      ...percentiles.map((at): [string, number] => [`${name}{quantile="${Number((at / 100).toFixed(4))}"}`, percentile(histogram, at)]),
       [`${name}_count`, histogram.totalCount]
     ])
   ])
--- a/core/metrics/test/createMetrics.test.ts
+++ b/core/metrics/test/createMetrics.test.ts
@@ -11,6 +11,7 @@
   const text = metrics.render()
   assert.match(text, /^siskinbeam_requests_total 2$/m)
   assert.match(text, /^siskinbeam_in_flight 5$/m)
+  assert.match(text, /^siskinbeam_answer_milliseconds\{quantile="0.999"\} /m)
   assert.ok(Math.abs(metrics.readPercentileMilliseconds('answer_milliseconds', 99) - 99) < 0.2)
 })
 
--- a/core/random/src/createRandom.ts
+++ b/core/random/src/createRandom.ts
@@ -5,9 +5,13 @@
 /** Gives a number in [0, 1). */
 export type Random = () => number
 
+/** The state of the generator starts almost empty: with seeds up to 1,000 its first number was always close to 1. */
+const discardedNumbers = 64
+
 /** Creates a random function from an integer seed. */
 export function createRandom (seed: number): Random {
   const generator = xoroshiro128plus(seed)
+  Array.from({ length: discardedNumbers }).forEach(() => generator.unsafeNext())
   return () => (generator.unsafeNext() >>> 0) / 0x1_0000_0000
 }
 
--- a/core/random/test/createRandom.test.ts
+++ b/core/random/test/createRandom.test.ts
@@ -12,6 +12,12 @@
   })
 })
 
+test('the first numbers of small seeds are spread over the whole range', () => {
+  const firsts = Array.from({ length: 1_000 }, (_, seed) => createRandom(seed + 1)())
+  const counts = Array.from({ length: 10 }, (_, tenth) => firsts.filter(value => Math.floor(value * 10) === tenth).length)
+  counts.forEach((count, tenth) => assert.ok(count > 60 && count < 140, `${count} of 1,000 first numbers in tenth ${tenth}`))
+})
+
 test('a sample holds distinct elements', () => {
   const random = createRandom(11)
   const elements = Array.from({ length: 20 }, (_, index) => index)
