Say "unknown" of a keyed request that is refused before its route is known

The rule for keyed requests was applied only when the route was known. Ruled out: the claim (no row was read). Change: a key whose route is not known to be idempotent gets the outcome of an unread row. Conclusion: invariant 3 holds for refusals at the door too.

--- a/daemon/entry-host/src/requestPath/accountFor.ts
+++ b/daemon/entry-host/src/requestPath/accountFor.ts
@@ -4,7 +4,7 @@
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { checkInvariant, Invariant } from '@siskinbeam/invariants/checkInvariant'
 import { decideOutcomeWithoutClaim } from '@siskinbeam/request-claims/decideOutcome'
-import { finishExchange, needsClaim, type Exchange } from './exchange.js'
+import { finishExchange, type Exchange } from './exchange.js'
 
 /** What is said to the guest. */
 export interface Account {
@@ -71,5 +71,7 @@
 // says that it sends the key for the first time.
 /** What a refusal may say of the request. */
 export function decideOutcome (exchange: Exchange, outcome: Outcome): Outcome {
-  return outcome === Outcome.NotRun && needsClaim(exchange) ? decideOutcomeWithoutClaim(exchange.guestAttempt) : outcome
+  // A host without a bundle, or one that is leaving, refuses before it knows the route.
+  const mayHaveRunElsewhere = exchange.key !== undefined && exchange.route?.idempotent !== true
+  return outcome === Outcome.NotRun && mayHaveRunElsewhere ? decideOutcomeWithoutClaim(exchange.guestAttempt) : outcome
 }
--- a/daemon/entry-host/test/claims.test.ts
+++ b/daemon/entry-host/test/claims.test.ts
@@ -111,3 +111,16 @@
     assert.equal(setup.runs(), 2)
   })
 })
+
+test('a host that refuses before it knows the route says "not run" of a key only if the guest sends it for the first time', () =>
+  withSetup(socket => socket.write(answerText('booked')), async setup => {
+    const refusing = await startPath(makeBundle([setup.server.address]), setup.table.address, 'entry-3', false)
+    await exchangeRaw(addressOf(setup, 0), book('key-9', 'lorry', firstAttempt))
+    assert.equal(setup.runs(), 1)
+    const resent = await exchangeRaw(refusing.guestAddress, book('key-9', 'lorry', 'siskinbeam-attempt: 2\r\n'))
+    assert.equal(readCode(resent.received), ResultCode.NoBundle)
+    assert.equal(readOutcome(resent.received), 'unknown')
+    const first = await exchangeRaw(refusing.guestAddress, book('key-10', 'lorry', firstAttempt))
+    assert.equal(readOutcome(first.received), 'not-run')
+    await refusing.stop()
+  }))
--- a/daemon/entry-host/test/support/startPath.ts
+++ b/daemon/entry-host/test/support/startPath.ts
@@ -65,7 +65,7 @@
 }
 
 /** Starts an entry host with the bundle in force. Without a table address, the table service is out. */
-export async function startPath (input: BundleInput, tableAddress = '127.0.0.1:9', name = 'entry-1'): Promise<StartedPath> {
+export async function startPath (input: BundleInput, tableAddress = '127.0.0.1:9', name = 'entry-1', serving = true): Promise<StartedPath> {
   setViolationHandler()
   const table = createTableClient({ address: tableAddress })
   const core = createHostCore({
@@ -78,7 +78,7 @@
     metrics: createMetrics(),
     table,
     listAddresses: () => ({ addresses: [], timeToLiveSeconds: 1 }),
-    mayServe: () => true,
+    mayServe: () => serving,
     announceCrash: async () => {},
     shareReports: () => {}
   })
