--- a/bench/bench/src/runBench.ts
+++ b/bench/bench/src/runBench.ts
@@ -29,6 +29,7 @@
     entryHosts: { flag: 'entry-hosts', description: 'entry hosts, 0 for those of the workload', check: integerSetting(0, 100), default: '0' },
     probesPerRequest: { flag: 'probes-per-request', description: 'probes for each request, empty for those of the workload', check: optionalTextSetting },
     hedging: { flag: 'hedging', description: 'on, or off to measure the time that an entry host adds', check: z.enum(['on', 'off']), default: 'on' },
+    networkDelays: { flag: 'network-delays', description: 'on, or off to measure the time that an entry host adds', check: z.enum(['on', 'off']), default: 'on' },
     json: { flag: 'json', description: 'file for the records', check: optionalTextSetting }
   },
   arguments: process.argv.slice(2),
@@ -39,7 +40,8 @@
   process.exit(2)
 }
 const { values } = settings.value
-const workload = workloads[values.workload]
+const chosen = workloads[values.workload]
+const workload = values.networkDelays === 'on' ? chosen : { ...chosen, roundTripMilliseconds: 0 }
 const policies = values.policy === allPolicies ? Object.values(Policy) : [values.policy as Policy]
 const seeds = Array.from({ length: values.seeds }, (_, position) => values.seed + position)
 const runs = seeds.flatMap(seed => policies.map(policy => ({ seed, policy })))
--- a/routing/probing/src/stepProbing.ts
+++ b/routing/probing/src/stepProbing.ts
@@ -150,6 +150,8 @@
   const server = idle[pickIndex(random, idle.length)] as string
   if (!takeBudget(probeCost)) return nothing
   state.idleProbedAt = now
+  // Counts toward the probes that requests earn, so that the rate for each request holds with servers out.
+  state.credit = Math.max(-maximumCredit, state.credit - 1)
   return [{ kind: ProbingCommandKind.Probe, server, newConnection: true }]
 }
 
