Use one fingerprint of requests for claims and crashes

Ruled out: two forms with different lengths, which nothing needs. Conclusion: one place defines what the same request is.

--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -1,6 +1,5 @@
 // The part of an entry host that serves guests: the request path and what it needs, without the control
 // loops. Tests drive it in one process; startEntryHost adds the loops.
-import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { TableClient } from '@siskinbeam/clients/createTableClient'
@@ -234,8 +233,3 @@
   exchange.finished = true
   exchange.onFinished.forEach(act => act())
 }
-
-/** A boot identity for hosts that are not part of a membership. */
-export function makeBootId (): string {
-  return randomUUID().replaceAll('-', '').slice(0, 16)
-}
--- a/daemon/entry-host/src/requestPath/claimRequest.ts
+++ b/daemon/entry-host/src/requestPath/claimRequest.ts
@@ -4,7 +4,7 @@
 import { Outcome } from '@siskinbeam/result-codes/resultCode'
 import { accountFor, decideOutcome } from './accountFor.js'
 import { feedAdmission } from './admitRequest.js'
-import { computeFingerprint } from './computeFingerprint.js'
+import { fingerprintExchange } from './fingerprintExchange.js'
 import { finishExchange, needsClaim, type Exchange, type Filter } from './exchange.js'
 
 /** The filter that claims a request. Those that need no claim pass at once. */
@@ -18,7 +18,7 @@
   exchange.claim = host.claims.start({
     service: rule.name,
     idempotencyKey: key,
-    fingerprint: computeFingerprint(exchange),
+    fingerprint: fingerprintExchange(exchange),
     ...(exchange.guestAttempt === undefined ? {} : { guestAttempt: exchange.guestAttempt }),
     sendBy: exchange.deadlineAt,
     recordLifetimeMilliseconds: rule.recordLifetimeSeconds * 1_000,
--- a/daemon/entry-host/src/requestPath/dispatchState.ts
+++ b/daemon/entry-host/src/requestPath/dispatchState.ts
@@ -2,7 +2,7 @@
 import type { OpenSend, ServerRuntime, ServiceRuntime } from '../servers/serviceRuntime.js'
 import type { EntryHost } from '../entryHost.js'
 import { accountFor, type Account } from './accountFor.js'
-import { computeFingerprint } from './computeFingerprint.js'
+import { fingerprintExchange } from './fingerprintExchange.js'
 import type { Exchange } from './exchange.js'
 import type { Attempt } from './sendAttempt.js'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
@@ -48,7 +48,7 @@
     isolated: false,
     timers: new Set(),
     fingerprint: () => {
-      fingerprint ??= computeFingerprint(exchange)
+      fingerprint ??= fingerprintExchange(exchange)
       return fingerprint
     }
   }
--- a/daemon/entry-host/test/support/startPath.ts
+++ b/daemon/entry-host/test/support/startPath.ts
@@ -1,4 +1,5 @@
 // Starts an entry host in this process before servers that a test controls byte by byte.
+import { randomUUID } from 'node:crypto'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { setViolationHandler } from '@siskinbeam/invariants/checkInvariant'
 import { createTableClient } from '@siskinbeam/clients/createTableClient'
@@ -7,7 +8,7 @@
 import { formatCodedError } from '@siskinbeam/result-codes/codedError'
 import { checkBundle } from '@siskinbeam/schema/checkBundle'
 import type { BundleInput } from '@siskinbeam/schema/bundle'
-import { createHostCore, makeBootId } from '../../src/createHostCore.js'
+import { createHostCore } from '../../src/createHostCore.js'
 import type { EntryHost } from '../../src/entryHost.js'
 import { listen } from '../../src/startEntryHost.js'
 
@@ -70,7 +71,7 @@
   const table = createTableClient({ address: tableAddress })
   const core = createHostCore({
     name,
-    boot: makeBootId(),
+    boot: randomUUID(),
     dataCentre: 'north',
     outgoingAddress: undefined,
     seed: 1,
