Assert whole answers in the program, and make the test of a graceful stop see a missing wait

Ruled out: a fault of the stop itself. Change: bytes relayed are compared with the length stated before an answer ends cleanly; the test waits for the settlement and then checks that the reading guest keeps the process.

--- a/daemon/entry-host/src/requestPath/relayAnswer.ts
+++ b/daemon/entry-host/src/requestPath/relayAnswer.ts
@@ -1,6 +1,7 @@
 // Streams the answer of a server to the guest with backpressure. An answer that ends early destroys
 // the connection to the guest, so that part of an answer never looks whole.
 import type { IncomingMessage } from 'node:http'
+import { checkInvariant, Invariant } from '@siskinbeam/invariants/checkInvariant'
 import { finishExchange, type Exchange } from './exchange.js'
 import { makeGuestHeaders } from './forwardHeaders.js'
 
@@ -27,6 +28,7 @@
   const { response, host } = exchange
   let ended = false
   let brokenEnd = AnswerEnd.Truncated
+  let relayedBytes = 0
   const cancel = (): void => {
     // Once its guest is gone, an answer that is already here is read to its end, which frees its connection.
     if (keepReading || answer.complete) return answer.resume() as unknown as void
@@ -42,6 +44,7 @@
   if (!response.destroyed && !exchange.finished) response.writeHead(answer.statusCode ?? 502, answer.statusMessage, makeGuestHeaders(exchange, answer))
   else cancel()
   answer.on('data', (chunk: Buffer) => {
+    relayedBytes += chunk.length
     onChunk?.(chunk)
     if (exchange.finished || response.destroyed) return
     if (!response.write(chunk)) answer.pause()
@@ -53,7 +56,10 @@
   })
   answer.on('end', () => {
     if (!answer.complete) return
-    if (!exchange.finished && !response.destroyed) response.end()
+    if (!exchange.finished && !response.destroyed) {
+      checkWhole(exchange, answer, relayedBytes)
+      response.end()
+    }
     end(AnswerEnd.Whole)
     finishExchange(exchange)
   })
@@ -65,3 +71,17 @@
     finishExchange(exchange)
   })
 }
+
+const statusesWithoutBody = [204, 304]
+
+// Counts again what the parser vouches for: an answer ends cleanly only after all that it stated.
+function checkWhole ({ request, requestId }: Exchange, { headers, statusCode = 0 }: IncomingMessage, relayedBytes: number): void {
+  const stated = headers['content-length']
+  const echoed = headers['siskinbeam-request-id']
+  const isWhole = stated === undefined || request.method === 'HEAD' || statusesWithoutBody.includes(statusCode) || Number(stated) === relayedBytes
+  checkInvariant({
+    invariant: Invariant.AnswerWholeAndOwn,
+    holds: isWhole && (echoed === undefined || echoed === requestId),
+    detail: () => `request ${requestId} got ${relayedBytes} of ${stated ?? 'unstated'} bytes of the answer to ${String(echoed ?? requestId)}`
+  })
+}
--- a/daemon/entry-host/test/hostProcess.test.ts
+++ b/daemon/entry-host/test/hostProcess.test.ts
@@ -110,14 +110,18 @@
   host.setTableFaults({ slowMilliseconds: 200 })
   held[0]?.socket.write(answerText('booked'))
   await waitUntil('the booking is answered', () => booking.received().endsWith('booked'))
-  await pause(100)
+  // Once the settlement is stored, only the guest that still reads keeps the process.
+  const readRows = async (): Promise<string> => {
+    const read = await host.table.read(['claim/desk/leaving'])
+    return read.ok ? JSON.stringify(read.value.rows) : ''
+  }
+  while (!/settled/i.test(await readRows())) await pause(20)
+  await pause(1_000)
   assert.equal(host.hasExited(), false, 'a guest still reads')
   reader.socket.resume()
   await waitUntil('the large answer is whole', () => reader.closed())
   assert.equal(reader.received().split('\r\n\r\n')[1]?.length, largeAnswer.length)
   assert.equal(await host.exited, 0)
   host.setTableFaults({ slowMilliseconds: 0 })
-  const row = await host.table.read(['claim/desk/leaving'])
-  assert.ok(row.ok)
-  assert.match(JSON.stringify(row.value.rows), /settled/i)
+  assert.match(await readRows(), /settled/i)
 })
