Make the large answer of the stop test larger than the socket buffers

Ruled out: a lost answer (the kernel delivers what was written). Change: 40 MB, which keeps the host writing.

--- a/daemon/entry-host/test/hostProcess.test.ts
+++ b/daemon/entry-host/test/hostProcess.test.ts
@@ -10,7 +10,8 @@
 import { exchangeRaw, makeBundle, startScriptedServer, type ScriptedServer } from './support/startPath.js'
 
 const seed = 20_262
-const largeAnswer = 'x'.repeat(8_000_000)
+// More than the socket buffers of both sides hold (10 MB on Linux), so that a paused guest keeps the host writing.
+const largeAnswer = 'x'.repeat(40_000_000)
 const held: Array<{ socket: Socket, text: string }> = []
 let server: ScriptedServer
 let host: StartedProcess
