Read the run log in one place, end abandoned exchanges by the shared function, drop unused channel functions

Cause: a read of the whole change. The bench and the demonstration each parsed the run log; endAbandoned repeated finishExchange; timeout channels, alternatives and sliding channels lost their last caller when the group commit got a timer. Ruled out: one function for the events and commands of the decision modules, which are alike in shape only; and a shared function to bind listeners, which no package that both sides use is the place for. Change: one module reads the log; the bench still takes a missing log for no runs, and the demonstration still fails. Conclusion: behaviour is as before.

--- a/bench/bench/src/summarizeRun.ts
+++ b/bench/bench/src/summarizeRun.ts
@@ -1,13 +1,13 @@
 // Computes the record of a run from what guests saw, what servers ran, and what processes used.
-import { readFileSync } from 'node:fs'
+import { existsSync } from 'node:fs'
 import { build } from 'hdr-histogram-js'
-import type { RunRecord as ServerRun } from '@siskinbeam/stand-in-server/serveServer'
 import { callControl } from './cluster/callControl.js'
 import type { Cluster } from './cluster/startCluster.js'
 import type { LoadResult } from './load/driveLoad.js'
 import { classifyRequest, FinalEnd, SendEnd, type GuestRequest } from './load/invocation.js'
 import { FindingKind } from '@siskinbeam/history-checker/historyTypes'
 import { checkRunHistory, readCommittedClaims } from './checkRunHistory.js'
+import { readRunLog } from './readRunLog.js'
 import type { RunRecord } from './record.js'
 import { readAllMetrics, type ProcessSample, type RunExperimentOptions } from './runExperiment.js'
 
@@ -32,7 +32,7 @@
 export async function summarizeRun ({ options, cluster, result, warmup, idle, loaded, before }: SummarizeRunOptions): Promise<RunRecord> {
   const { requests, direct } = result
   const directIds = new Set(direct.flatMap(({ sends }) => sends.map(({ requestId }) => requestId)))
-  const runs = readRunLog(cluster.runLog).filter(({ requestId }) => !directIds.has(requestId))
+  const runs = (existsSync(cluster.runLog) ? readRunLog(cluster.runLog) : []).filter(({ requestId }) => !directIds.has(requestId))
   const history = checkRunHistory({ requests: [...warmup, ...requests], runs, claims: await readCommittedClaims(cluster.plan.tableControl), disturbedAddresses: cluster.disturbedAddresses })
   history.findings.slice(0, mostFindingsPrinted).forEach(finding => process.stderr.write(`finding ${JSON.stringify(finding)}\n`))
   const after = await readAllMetrics(cluster)
@@ -79,14 +79,6 @@
   }
 }
 
-function readRunLog (file: string): ServerRun[] {
-  try {
-    return readFileSync(file, 'utf8').split('\n').filter(line => line !== '').map(line => JSON.parse(line) as ServerRun)
-  } catch {
-    return []
-  }
-}
-
 function readLatency ({ intendedAt, endedAt }: GuestRequest): number {
   return (endedAt ?? intendedAt) - intendedAt
 }
--- a/bench/demo/src/runDemo.ts
+++ b/bench/demo/src/runDemo.ts
@@ -1,14 +1,13 @@
 #!/usr/bin/env node
 // The command line of the demonstration: `npm run demo` and `npm run demo -- --keep`.
-import { readFileSync } from 'node:fs'
 import { performance } from 'node:perf_hooks'
 import { Command } from 'commander'
 import { readCommittedClaims } from '@siskinbeam/bench/checkRunHistory'
+import { readRunLog } from '@siskinbeam/bench/readRunLog'
 import { startCluster, type Cluster } from '@siskinbeam/bench/cluster/startCluster'
 import { createGuests } from '@siskinbeam/bench/load/createGuests'
 import { driveLoad } from '@siskinbeam/bench/load/driveLoad'
 import { Policy } from '@siskinbeam/schema/bundle'
-import type { RunRecord as ServerRun } from '@siskinbeam/stand-in-server/serveServer'
 import { readVersions } from './bundleVersions.js'
 import { performEvents, readCounters } from './demoEvents.js'
 import { demoBundleName, demoEntryHosts, demoWorkload } from './demoWorkload.js'
@@ -89,10 +88,6 @@
   })
 }
 
-function readRunLog (file: string): ServerRun[] {
-  return readFileSync(file, 'utf8').split('\n').filter(line => line !== '').map(line => JSON.parse(line) as ServerRun)
-}
-
 async function waitForInterrupt (cluster: Cluster): Promise<void> {
   process.stdout.write(`\nThe system keeps running until SIGINT (Ctrl-C). Command lines to try:\n\n${listTrials(cluster).join('\n')}\n`)
   // The pending promise alone would not keep the process alive.
--- a/core/processes/src/channels.ts
+++ b/core/processes/src/channels.ts
@@ -15,22 +15,11 @@
 /** The body of a process. */
 export type ProcessBody = Generator<unknown, void, any>
 
-/** What `alts` resumes with: the value, and the channel that it came from. */
-export interface Alternative<Value> {
-  value: Value | null
-  channel: unknown
-}
-
 /** Creates a channel. Without a size, a put waits for its take. */
 export function createChannel<Value> (size?: number): Channel<Value> {
   return size === undefined ? csp.chan() : csp.chan(size)
 }
 
-/** Creates a channel that keeps only the newest values, so that its producers never wait. */
-export function createSlidingChannel<Value> (size: number): Channel<Value> {
-  return csp.chan(csp.buffers.sliding(size))
-}
-
 /** Yields the next value of the channel, or null once it is closed and empty. */
 export function take<Value> (channel: Channel<Value>): Operation {
   return csp.take(channel)
@@ -46,16 +35,6 @@
   return csp.timeout(milliseconds)
 }
 
-/** A channel that closes after the time given, for use in `alternatives`. */
-export function createTimeout (milliseconds: number): Channel<null> {
-  return csp.timeout(milliseconds)
-}
-
-/** Waits for the first of several channels. */
-export function alternatives (channels: Array<Channel<any>>): Operation {
-  return csp.alts(channels)
-}
-
 /** Puts a value from outside a process without waiting. */
 export function offer<Value> (channel: Channel<Value>, value: Value): boolean {
   return csp.offer(channel, value)
--- a/daemon/entry-host/src/createHostCore.ts
+++ b/daemon/entry-host/src/createHostCore.ts
@@ -20,7 +20,7 @@
 import { answerOwnPaths } from './requestPath/answerOwnPaths.js'
 import { claimRequest } from './requestPath/claimRequest.js'
 import { dispatchRequest } from './requestPath/dispatchRequest.js'
-import { joinFilters, type Exchange } from './requestPath/exchange.js'
+import { finishExchange, joinFilters, type Exchange } from './requestPath/exchange.js'
 import { identifyRequest } from './requestPath/identifyRequest.js'
 import { readBody } from './requestPath/readBody.js'
 import { createServiceRuntimes } from './servers/createServiceRuntimes.js'
@@ -230,6 +230,5 @@
   if (exchange.finished) return
   exchange.claim?.guestLeft()
   exchange.host.metrics.count('exchanges_abandoned_total')
-  exchange.finished = true
-  exchange.onFinished.forEach(act => act())
+  finishExchange(exchange)
 }
