Run entry hosts on the users' platform: adapter, watch of the store by data centre, servers asked before each send

Cause: the system had no program that speaks the platform's terms. Each data centre has one host that watches the store and passes changes on to the others through held calls; every host falls back to the next one. A server is asked for its load on the connection that then carries the request.

--- a/bench/bench/src/cluster/callControl.ts
+++ b/bench/bench/src/cluster/callControl.ts
@@ -1,6 +1,6 @@
 // Calls to the control addresses of the stand-ins.
 import { request as sendRequest } from 'node:http'
-import { splitAddress } from '@siskinbeam/settings/settingChecks'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
 
 const timeoutMilliseconds = 5_000
 
--- a/bench/bench/src/cluster/observeProcesses.ts
+++ b/bench/bench/src/cluster/observeProcesses.ts
@@ -2,7 +2,7 @@
 // from the operators' listener.
 import { readFileSync } from 'node:fs'
 import { request as sendRequest } from 'node:http'
-import { splitAddress } from '@siskinbeam/settings/settingChecks'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
 
 // Linux counts processor time in hundredths of a second.
 const millisecondsPerTick = 10
--- a/bench/bench/src/load/sendAsGuest.ts
+++ b/bench/bench/src/load/sendAsGuest.ts
@@ -2,7 +2,7 @@
 import { Agent, request as sendRequest, type IncomingMessage } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { Outcome } from '@siskinbeam/result-codes/resultCode'
-import { splitAddress } from '@siskinbeam/settings/settingChecks'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { SendEnd, type GuestSend } from './invocation.js'
 
 const guestTimeoutMilliseconds = 15_000
--- a/core/settings/src/settingChecks.ts
+++ b/core/settings/src/settingChecks.ts
@@ -48,9 +48,3 @@
       `${whole ? 'a whole number' : 'a number'} from ${lowest} to ${highest}`)
     .transform(Number)
 }
-
-/** Splits a checked address into what `listen` and `connect` take. */
-export function splitAddress (address: string): { host: string, port: number } {
-  const [host = '', port = ''] = address.split(':')
-  return { host, port: Number(port) }
-}
--- a/daemon/entry-host/src/servers/createServiceRuntimes.ts
+++ b/daemon/entry-host/src/servers/createServiceRuntimes.ts
@@ -9,7 +9,7 @@
 import { stepServerChoice } from '@siskinbeam/server-choice/stepServerChoice'
 import { createServerHealthState, HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { stepServerHealth } from '@siskinbeam/server-health/stepServerHealth'
-import { splitAddress } from '@siskinbeam/settings/settingChecks'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { chooseSubset } from '@siskinbeam/subsets/chooseSubset'
 import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
 import { createConnectionHealthState } from '@siskinbeam/connection-shares/stepConnectionHealth'
--- /dev/null
+++ b/daemon/platform-host/src/dataCentre/keepMembers.ts
@@ -0,0 +1,35 @@
+// The entry hosts of the own data centre that are alive, as far as this host hears of them.
+import type { Member } from './peerMessages.js'
+
+export interface Members {
+  /** Takes note of a host that just called. */
+  hear: (member: Member) => void
+  /** Replaces the list by that of the host that this host follows. */
+  adopt: (members: Member[]) => void
+  /** A host whose call broke off is left out until it calls again. */
+  drop: (name: string) => void
+  list: () => Member[]
+  digest: () => string
+}
+
+/** Followers call at least twice in this time. */
+const silentMilliseconds = 1_300
+
+/** Creates the list; `own` gives the own entry as it is now. */
+export function createMembers (own: () => Member, now: () => number): Members {
+  const heard = new Map<string, { member: Member, at: number }>()
+  const list = (): Member[] => [own(), ...[...heard.values()].filter(({ at }) => now() - at < silentMilliseconds).map(({ member }) => member)]
+  const hear = (member: Member): void => {
+    if (member.name !== own().name && member.dataCentre === own().dataCentre) heard.set(member.name, { member, at: now() })
+  }
+  return {
+    hear,
+    adopt: members => {
+      heard.clear()
+      members.forEach(hear)
+    },
+    drop: name => { heard.delete(name) },
+    list,
+    digest: () => list().map(({ name, ready }) => `${name}:${ready ? 1 : 0}`).sort().join()
+  }
+}
--- /dev/null
+++ b/daemon/platform-host/src/dataCentre/view.ts
@@ -0,0 +1,55 @@
+// What this host knows of configuration, servers and entry hosts, whatever the source it comes from.
+import type { Configuration } from '@siskinbeam/route-table/configuration'
+import { createRouteTable, type RouteTable } from '@siskinbeam/route-table/createRouteTable'
+import { applyUpdate, createRegistry, releaseHeldRemovals, type RegistryState, type RegistryUpdate } from '@siskinbeam/server-registry/serverRegistry'
+import type { HostMetrics } from '../platformHost.js'
+import type { Logger } from '@siskinbeam/logging/createLogger'
+
+export interface View {
+  routes: () => RouteTable | undefined
+  registry: RegistryState
+  /** Puts a configuration in force unless an equal or newer one is. */
+  applyConfiguration: (configuration: Configuration, source: string) => void
+  applyServers: (update: RegistryUpdate, source: string) => void
+  releaseHeld: () => void
+  /** Called after each change. */
+  onChange: (listener: () => void) => void
+}
+
+export interface CreateViewOptions {
+  logger: Logger
+  metrics: HostMetrics
+  now: () => number
+  onServers: (registry: RegistryState, ids: string[]) => void
+}
+
+/** Creates a view that knows nothing. */
+export function createView ({ logger, metrics, now, onServers }: CreateViewOptions): View {
+  const registry = createRegistry()
+  const listeners: Array<() => void> = []
+  let table: RouteTable | undefined
+  const notify = (): void => listeners.forEach(listener => listener())
+  const noteServers = (ids: string[], source: string): void => {
+    if (ids.length === 0) return
+    onServers(registry, ids)
+    metrics.count('server_changes_total', ids.length)
+    ids.forEach(id => {
+      const server = registry.servers.get(id)?.server
+      logger.info('server changed', { server: id, state: server?.state ?? 'gone', service: server?.service, address: server?.address, version: registry.version, source })
+    })
+    notify()
+  }
+  return {
+    routes: () => table,
+    registry,
+    applyConfiguration: (configuration, source) => {
+      if (table !== undefined && configuration.version <= table.configuration.version) return
+      table = createRouteTable(configuration)
+      logger.info('configuration in force', { configuration: configuration.version, routes: configuration.routes.length, source })
+      notify()
+    },
+    applyServers: (update, source) => noteServers(applyUpdate(registry, update, now()), source),
+    releaseHeld: () => noteServers(releaseHeldRemovals(registry, now()), 'lapsed'),
+    onChange: listener => { listeners.push(listener) }
+  }
+}
--- /dev/null
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -0,0 +1,165 @@
+// Watches the store for this host and its followers: one process for each table reads what changed and
+// waits for more. The processes rest while nobody needs them. A check of the path opens a connection
+// without a call, since an open call can't tell a quiet store from one that is cut off.
+import { connect } from 'node:net'
+import type { StoreClient, StoreReply, StoreRow } from '@siskinbeam/platform-adapter/createStoreClient'
+import { StoreOutcome } from '@siskinbeam/platform-adapter/createStoreClient'
+import { readConfiguration } from '@siskinbeam/platform-adapter/readConfiguration'
+import { readServerRow } from '@siskinbeam/platform-adapter/readServerEntry'
+import { configurationKey, Table } from '@siskinbeam/platform-adapter/wire'
+import { fromPromise, sleep, take, type ProcessBody } from '@siskinbeam/processes/channels'
+import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import { noteStoreReturn } from '@siskinbeam/server-registry/serverRegistry'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
+import type { PlatformHost } from '../platformHost.js'
+import type { View } from './view.js'
+
+export interface StoreWatch {
+  /** When the view was last known to match the store. */
+  confirmedAt: () => number
+  /** Since when calls have failed, undefined if the latest one succeeded. */
+  failingSince: () => number | undefined
+  stop: () => void
+}
+
+export interface WatchStoreOptions {
+  host: PlatformHost
+  view: View
+  store: StoreClient
+  /** Whether somebody needs the view to be kept up to date from the store. */
+  isNeeded: () => boolean
+}
+
+interface TableWatch {
+  table: Table
+  version: number
+  confirmedAt: number
+  failingSince: number | undefined
+  apply: (rows: StoreRow[], whole: boolean, version: number) => void
+}
+
+/** A call waits this long for a change. Connections that went silent are found by the end of the wait. */
+const waitMilliseconds = 2_000
+/** Collects changes that come in quick succession. */
+const collectMilliseconds = 120
+const restMilliseconds = 100
+const firstRetryMilliseconds = 60
+const longestRetryMilliseconds = 800
+/** Entries of servers may lapse if the store is away for longer. */
+const outageMilliseconds = 1_000
+const pathCheckMilliseconds = 400
+
+/** Starts watching. */
+export function watchStore ({ host, view, store, isNeeded }: WatchStoreOptions): StoreWatch {
+  const { now, logger } = host
+  const watches: TableWatch[] = [
+    {
+      table: Table.Operator,
+      version: 0,
+      confirmedAt: -Infinity,
+      failingSince: undefined,
+      apply: rows => rows.filter(({ key, gone }) => key === configurationKey && !gone).forEach(row => {
+        const configuration = readConfiguration(row.value)
+        if (configuration === undefined) logger.error('configuration unreadable', { version: row.version })
+        else view.applyConfiguration(configuration, 'store')
+      })
+    },
+    {
+      table: Table.Servers,
+      version: 0,
+      confirmedAt: -Infinity,
+      failingSince: undefined,
+      apply: (rows, whole, version) => view.applyServers({ whole, version, changes: rows.map(readServerRow) }, 'store')
+    }
+  ]
+  let pathFailingSince: number | undefined
+
+  const noteReply = (watch: TableWatch, reply: StoreReply, whole: boolean): void => {
+    if (reply.outcome !== StoreOutcome.Done) {
+      if (watch.failingSince === undefined) logger.warn('store lost', { table: watch.table, outcome: reply.outcome, reason: reply.reason, ageMilliseconds: Math.round(now() - watch.confirmedAt) })
+      watch.failingSince ??= now()
+      return
+    }
+    if (watch.failingSince !== undefined) {
+      logger.info('store regained', { table: watch.table, milliseconds: Math.round(now() - watch.failingSince) })
+      if (watch.table === Table.Servers && now() - watch.failingSince > outageMilliseconds) noteStoreReturn(view.registry, now())
+      watch.failingSince = undefined
+    }
+    watch.apply(reply.rows, whole, reply.version)
+    watch.version = reply.version
+    watch.confirmedAt = now()
+  }
+
+  function * runWatch (watch: TableWatch): ProcessBody {
+    let failures = 0
+    for (;;) {
+      if (!isNeeded()) {
+        yield sleep(restMilliseconds)
+        continue
+      }
+      const whole = watch.version === 0
+      const calledAt = now()
+      const settled: { ok: boolean, value?: StoreReply } = yield take(fromPromise(whole ? store.readTable(watch.table) : store.readChanges(watch.table, watch.version, waitMilliseconds)))
+      const reply = settled.value
+      if (reply === undefined) continue
+      if (reply.outcome === StoreOutcome.HistoryDropped) {
+        logger.info('history dropped', { table: watch.table, version: watch.version })
+        watch.version = 0
+        continue
+      }
+      noteReply(watch, reply, whole)
+      failures = reply.outcome === StoreOutcome.Done ? 0 : failures + 1
+      if (failures > 0) yield sleep(Math.min(longestRetryMilliseconds, firstRetryMilliseconds * 2 ** failures) * (0.7 + 0.6 * host.random()))
+      // A feed that answers at once and without a row must not turn into a busy loop.
+      else if (now() - calledAt < waitMilliseconds / 2) yield sleep(collectMilliseconds)
+    }
+  }
+
+  function * checkPath (): ProcessBody {
+    for (;;) {
+      yield sleep(pathCheckMilliseconds)
+      if (!isNeeded()) {
+        pathFailingSince = undefined
+        continue
+      }
+      const settled: { value?: boolean } = yield take(fromPromise(canConnect(host.settings.storeAddress)))
+      if (settled.value === true) pathFailingSince = undefined
+      else pathFailingSince ??= now()
+    }
+  }
+
+  function * releaseHeld (): ProcessBody {
+    for (;;) {
+      yield sleep(restMilliseconds)
+      view.releaseHeld()
+    }
+  }
+
+  const processes = [
+    ...watches.map(watch => superviseProcess({ name: `watch ${watch.table}`, logger, body: () => runWatch(watch) })),
+    superviseProcess({ name: 'check path', logger, body: checkPath }),
+    superviseProcess({ name: 'release held', logger, body: releaseHeld })
+  ]
+  return {
+    confirmedAt: () => Math.min(...watches.map(({ confirmedAt }) => confirmedAt)),
+    failingSince: () => {
+      const times = [...watches.map(({ failingSince }) => failingSince), pathFailingSince].filter(time => time !== undefined)
+      return times.length === 0 ? undefined : Math.min(...times)
+    },
+    stop: () => processes.forEach(process => process.stop())
+  }
+}
+
+function canConnect (address: string): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = connect(splitAddress(address))
+    const finish = (connected: boolean): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(connected)
+    }
+    const timer = setTimeout(finish, pathCheckMilliseconds, false)
+    socket.on('connect', () => finish(true))
+    socket.on('error', () => finish(false))
+  })
+}
--- /dev/null
+++ b/daemon/platform-host/src/guestListeners.ts
@@ -0,0 +1,107 @@
+// The listeners that guests and the platform's checks use.
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { isAddressRequest, isReadinessRequest, readGuestHead, writeAddresses } from '@siskinbeam/platform-adapter/guestDialect'
+import type { PlatformHost } from './platformHost.js'
+import { collectBody } from './requestPath/collectBody.js'
+import { dispatchRequest } from './requestPath/dispatchRequest.js'
+import { findRoute } from './requestPath/findRoute.js'
+import { joinFilters, type GuestExchange } from './requestPath/guestExchange.js'
+
+export interface GuestListener {
+  server: Server
+  inFlight: () => number
+  /** Follows the limits of the configuration in force. */
+  applyLimits: () => void
+}
+
+const largestHeaderBytes = 65_536
+/** Guests that wait for a host without a word on their deadline. */
+const assumedWaitMilliseconds = 10_000
+/** Guests may use a connection for most of the idle timeout; it is closed somewhat later than promised. */
+const idleMarginMilliseconds = 1_000
+const assumedIdleMilliseconds = 15_000
+const shutDownHeaders = { connection: 'close' }
+
+/** Creates the listener for requests of guests: each goes through the filters of the request path in turn. */
+export function createGuestListener (host: PlatformHost): GuestListener {
+  const serve = joinFilters([findRoute, collectBody, dispatchRequest])
+  let inFlight = 0
+  const server = createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0, keepAliveTimeout: assumedIdleMilliseconds + idleMarginMilliseconds }, (request, response) => {
+    inFlight += 1
+    const exchange = createExchange(host, request, response)
+    request.on('error', () => {})
+    response.on('error', () => {})
+    response.on('close', () => {
+      inFlight -= 1
+      endAbandoned(exchange)
+    })
+    serve(exchange)
+  })
+  server.on('connection', socket => socket.setNoDelay(true))
+  return {
+    server,
+    inFlight: () => inFlight,
+    applyLimits: () => {
+      const limits = host.routes()?.configuration.limits
+      if (limits === undefined) return
+      server.keepAliveTimeout = limits.idleTimeoutMilliseconds + idleMarginMilliseconds
+      server.headersTimeout = limits.headerTimeoutMilliseconds + idleMarginMilliseconds
+    }
+  }
+}
+
+function createExchange (host: PlatformHost, request: IncomingMessage, response: ServerResponse): GuestExchange {
+  const { requestId, waitMilliseconds = assumedWaitMilliseconds } = readGuestHead(request.headers)
+  const receivedAt = host.now()
+  return {
+    host,
+    request,
+    response,
+    requestId,
+    path: (request.url ?? '').split('?', 1)[0] ?? '',
+    receivedAt,
+    deadlineAt: receivedAt + waitMilliseconds,
+    route: undefined,
+    service: '',
+    body: undefined,
+    sends: 0,
+    cancels: new Set(),
+    finished: false
+  }
+}
+
+/** A guest that left needs no answer: work that may be repeated is ended, other work runs to its end. */
+function endAbandoned (exchange: GuestExchange): void {
+  if (exchange.finished) return
+  exchange.finished = true
+  exchange.host.metrics.count('guests_left_total')
+  exchange.host.logger.info('guest left', { request: exchange.requestId, route: exchange.route?.name, sends: exchange.sends, milliseconds: Math.round(exchange.host.now() - exchange.receivedAt) })
+  if (exchange.route?.idempotent !== false) exchange.cancels.forEach(cancel => cancel())
+}
+
+export interface AddressListenerOptions {
+  host: PlatformHost
+  listAddresses: () => string[]
+}
+
+/** Creates the listener that tells guests which addresses to use. */
+export function createAddressListener ({ host, listAddresses }: AddressListenerOptions): Server {
+  return createServer((request, response) => {
+    if (!isAddressRequest(request.url ?? '')) {
+      response.writeHead(404).end()
+      return
+    }
+    const body = writeAddresses(listAddresses(), host.settings.addressTimeToLiveSeconds)
+    response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...(host.leaving() ? shutDownHeaders : {}) })
+    response.end(body)
+  })
+}
+
+/** Creates the listener of the platform's readiness checks. */
+export function createReadinessListener (host: PlatformHost, isReady: () => boolean): Server {
+  return createServer((request, response) => {
+    const status = isReadinessRequest(request.url ?? '') ? (isReady() ? 200 : 503) : 404
+    response.writeHead(status, { 'content-length': 0, ...(host.leaving() ? shutDownHeaders : {}) })
+    response.end()
+  })
+}
--- /dev/null
+++ b/daemon/platform-host/src/platformHost.ts
@@ -0,0 +1,33 @@
+// What the parts of an entry host share.
+import type { RouteTable } from '@siskinbeam/route-table/createRouteTable'
+import type { Logger } from '@siskinbeam/logging/createLogger'
+import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
+import type { Random } from '@siskinbeam/random/createRandom'
+import type { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import type { ServerLinks } from './servers/serverLinks.js'
+
+/** Counters and latencies of this process. */
+export interface HostMetrics {
+  count: (name: string, amount?: number) => void
+  recordMilliseconds: (name: string, milliseconds: number) => void
+}
+
+export interface PlatformHost {
+  settings: HostSettings
+  logger: Logger
+  metrics: HostMetrics
+  random: Random
+  /** Milliseconds of the monotonic clock. */
+  now: () => number
+  /** Undefined until a configuration is known. */
+  routes: () => RouteTable | undefined
+  links: ServerLinks
+  leaving: () => boolean
+  retries: ServiceRetries
+}
+
+/** The retry budgets of all services. */
+export interface ServiceRetries {
+  noteFirstSend: (service: string) => void
+  take: (service: string, purpose: FurtherSend) => boolean
+}
--- /dev/null
+++ b/daemon/platform-host/src/requestPath/dispatchRequest.ts
@@ -0,0 +1,183 @@
+// Filter: sends a request to a server, and to another one where that is safe, until there is an answer to
+// pass on or a reason to refuse. What follows a send is looked up by its outcome.
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
+import type { Route } from '@siskinbeam/route-table/configuration'
+import type { AskedServer } from '../servers/askServers.js'
+import type { ServerLink } from '../servers/serverLink.js'
+import { chooseServer } from './chooseServer.js'
+import type { Filter, GuestExchange } from './guestExchange.js'
+import { refuse } from './refuse.js'
+import { relayAnswer } from './relayAnswer.js'
+import { SendOutcome, sendToServer, type SendResult } from './sendToServer.js'
+import { createWorkEstimates } from './workEstimates.js'
+
+interface Dispatch {
+  exchange: GuestExchange
+  route: Route
+  tried: Set<ServerLink>
+  /** Whether a server may have run the request. */
+  mayHaveRun: boolean
+}
+
+interface ServerResult {
+  link: ServerLink
+  result: SendResult
+}
+
+interface Hedge {
+  promise: Promise<ServerResult | undefined>
+  isSent: () => boolean
+  /** Ends the wait for a hedge that is not sent yet. */
+  stop: () => void
+}
+
+const firstChoiceRounds = 3
+const hedgeChoiceRounds = 1
+/** With less time than this share of the usual work left, a further send would not be answered in time. */
+const leastWorkShare = 0.5
+const refusedRetryMilliseconds = 60
+const longestRetryAfterMilliseconds = 400
+/** A hedge is sent after this share of the usual work at the earliest. */
+const hedgeAfterWorkShare = 1.2
+/** A hedge leaves this share of the usual work before the target latency. */
+const hedgeWorkShare = 1.3
+
+const work = createWorkEstimates()
+
+export const dispatchRequest: Filter = exchange => {
+  const { route } = exchange
+  if (route === undefined) return
+  const dispatch: Dispatch = { exchange, route, tried: new Set(), mayHaveRun: false }
+  sendOnce(dispatch).catch((error: unknown) => {
+    exchange.host.logger.error('request path failed', { request: exchange.requestId, reason: String(error) })
+    refuse(exchange, { code: exchange.sends > 0 ? ResultCode.ServerFailedAfterSend : ResultCode.NoServer, reason: 'internal error' })
+  })
+}
+
+async function sendOnce (dispatch: Dispatch): Promise<void> {
+  const { exchange, route, tried } = dispatch
+  const { host } = exchange
+  const workMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
+  const choice = await chooseServer({ exchange, tried, workMilliseconds, rounds: firstChoiceRounds })
+  if (exchange.finished) return
+  const left = exchange.deadlineAt - host.now()
+  if (choice === undefined) {
+    refuseUnsent(dispatch, tried.size === 0 ? ResultCode.NoServer : ResultCode.ServersRefused, 'no server answered', longestRetryAfterMilliseconds)
+    return
+  }
+  if (left <= workMilliseconds * leastWorkShare) {
+    refuseUnsent(dispatch, ResultCode.DeadlineExceededBeforeSend, `${Math.round(left)} ms are left`, refusedRetryMilliseconds)
+    return
+  }
+  if (choice.estimate > left) {
+    refuseUnsent(dispatch, ResultCode.Overloaded, `the best server would take ${Math.round(choice.estimate)} of ${Math.round(left)} ms`,
+      Math.min(longestRetryAfterMilliseconds, choice.estimate - left + refusedRetryMilliseconds))
+    return
+  }
+  if (exchange.sends === 0) host.retries.noteFirstSend(exchange.service)
+  const { link, result } = await sendAndHedge(dispatch, choice)
+  await followUps[result.outcome](dispatch, link, result as never)
+}
+
+type FollowUp<Outcome extends SendOutcome> = (dispatch: Dispatch, link: ServerLink, result: Extract<SendResult, { outcome: Outcome }>) => Promise<void> | void
+
+const followUps: { [Outcome in SendOutcome]: FollowUp<Outcome> } = {
+  [SendOutcome.Answered]: ({ exchange, route }, link, { answer }) => {
+    if (exchange.sends === 1) work.note(route.name, route.targetLatencyMilliseconds, exchange.host.now() - exchange.receivedAt)
+    relayAnswer(exchange, answer, link.server.id)
+  },
+  [SendOutcome.Failed]: (dispatch, link, { answer }) => {
+    dispatch.mayHaveRun = true
+    if (mayRepeat(dispatch)) return sendOnce(dispatch)
+    relayAnswer(dispatch.exchange, answer, link.server.id)
+  },
+  [SendOutcome.NotExecuted]: (dispatch, link, { reason }) => {
+    if (maySendElsewhere(dispatch)) return sendOnce(dispatch)
+    refuseUnsent(dispatch, ResultCode.ServersRefused, reason, refusedRetryMilliseconds)
+  },
+  [SendOutcome.NotSent]: dispatch => {
+    dispatch.exchange.sends -= 1
+    return sendOnce(dispatch)
+  },
+  [SendOutcome.Broken]: (dispatch, link, { reason }) => {
+    dispatch.mayHaveRun = true
+    if (mayRepeat(dispatch)) return sendOnce(dispatch)
+    refuse(dispatch.exchange, { code: ResultCode.ServerFailedAfterSend, reason })
+  },
+  [SendOutcome.TimedOut]: (dispatch, link, { reason }) => {
+    dispatch.mayHaveRun = true
+    refuse(dispatch.exchange, { code: ResultCode.ServerTimedOut, reason })
+  },
+  [SendOutcome.Cancelled]: () => {}
+}
+
+/** Refuses a request as not run, unless a server may have run it. */
+function refuseUnsent ({ exchange, mayHaveRun }: Dispatch, code: ResultCode, reason: string, retryAfterMilliseconds: number): void {
+  refuse(exchange, { code: mayHaveRun ? ResultCode.ServerFailedAfterSend : code, reason, retryAfterMilliseconds })
+}
+
+/** Whether a request that a server may have run is sent once more. */
+function mayRepeat (dispatch: Dispatch): boolean {
+  return dispatch.route.idempotent && maySendElsewhere(dispatch)
+}
+
+function maySendElsewhere ({ exchange, route }: Dispatch): boolean {
+  return !exchange.finished && exchange.sends < route.maximumAttempts &&
+    exchange.deadlineAt - exchange.host.now() > leastWorkShare * work.read(route.name, route.targetLatencyMilliseconds) &&
+    exchange.host.retries.take(exchange.service, FurtherSend.Retry)
+}
+
+async function sendAndHedge (dispatch: Dispatch, choice: RankedServer<AskedServer>): Promise<ServerResult> {
+  const first = sendTo(dispatch, choice)
+  if (!dispatch.route.idempotent || dispatch.exchange.sends >= dispatch.route.maximumAttempts) return first
+  const hedge = sendHedge(dispatch)
+  const winner = await firstAnswer(first, hedge)
+  hedge.stop()
+  // The sends that are still in progress have lost.
+  dispatch.exchange.cancels.forEach(cancel => cancel())
+  return winner
+}
+
+async function sendTo ({ exchange, tried }: Dispatch, { server }: RankedServer<AskedServer>): Promise<ServerResult> {
+  tried.add(server.link)
+  return { link: server.link, result: await sendToServer(exchange, server) }
+}
+
+/** Sends the request a second time once it is late, if a server with room is found. Resolves with undefined if not. */
+function sendHedge (dispatch: Dispatch): Hedge {
+  const { exchange, route, tried } = dispatch
+  const workMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
+  const dueAt = exchange.receivedAt + Math.max(hedgeAfterWorkShare * workMilliseconds, route.targetLatencyMilliseconds - hedgeWorkShare * workMilliseconds)
+  let stopped = false
+  let sent = false
+  let stop = (): void => { stopped = true }
+  const promise = new Promise<ServerResult | undefined>(resolve => {
+    const timer = setTimeout(() => { hedge().then(resolve, () => resolve(undefined)) }, Math.max(0, dueAt - exchange.host.now()))
+    stop = () => {
+      stopped = true
+      clearTimeout(timer)
+      resolve(undefined)
+    }
+  })
+  const hedge = async (): Promise<ServerResult | undefined> => {
+    const choice = await chooseServer({ exchange, tried, workMilliseconds, rounds: hedgeChoiceRounds })
+    const useful = choice?.hasRoom === true && choice.estimate < exchange.deadlineAt - exchange.host.now()
+    if (!useful || stopped || exchange.finished || exchange.sends >= route.maximumAttempts) return undefined
+    if (!exchange.host.retries.take(exchange.service, FurtherSend.Hedge)) return undefined
+    exchange.host.metrics.count('hedges_total')
+    sent = true
+    return sendTo(dispatch, choice)
+  }
+  return { promise, isSent: () => sent, stop: () => stop() }
+}
+
+/** The first answer of the two; if neither answers, the outcome of the first send. */
+async function firstAnswer (first: Promise<ServerResult>, hedge: Hedge): Promise<ServerResult> {
+  const isAnswer = (settled: ServerResult | undefined): settled is ServerResult => settled?.result.outcome === SendOutcome.Answered
+  const earliest = await Promise.race([first, hedge.promise.then(settled => isAnswer(settled) ? settled : first)])
+  if (isAnswer(earliest) || !hedge.isSent()) return earliest
+  const other = await hedge.promise
+  return isAnswer(other) ? other : earliest
+}
--- /dev/null
+++ b/daemon/platform-host/src/requestPath/findRoute.ts
@@ -0,0 +1,31 @@
+// Filter: finds the route of a request and the service that it goes to.
+import { pickService } from '@siskinbeam/route-table/createRouteTable'
+import { ResultCode } from '@siskinbeam/result-codes/resultCode'
+import type { Filter } from './guestExchange.js'
+import { refuse } from './refuse.js'
+
+/** How long a new host takes to learn a configuration. */
+const learningMilliseconds = 400
+
+export const findRoute: Filter = (exchange, next) => {
+  const { host } = exchange
+  const table = host.routes()
+  if (table === undefined) {
+    refuse(exchange, { code: ResultCode.NoBundle, reason: 'no configuration is known', retryAfterMilliseconds: learningMilliseconds })
+    return
+  }
+  const route = table.findRoute(exchange.request.headers.host ?? '', exchange.path)
+  if (route === undefined) {
+    refuse(exchange, { code: ResultCode.UnknownRoute, reason: 'no route begins the path' })
+    return
+  }
+  exchange.route = route
+  exchange.deadlineAt = Math.min(exchange.deadlineAt, exchange.receivedAt + route.timeoutMilliseconds)
+  const service = pickService(route, host.random())
+  if (service === undefined) {
+    refuse(exchange, { code: ResultCode.NoServer, reason: 'no service of the route has a weight' })
+    return
+  }
+  exchange.service = service
+  next(exchange)
+}
--- /dev/null
+++ b/daemon/platform-host/src/requestPath/workEstimates.ts
@@ -0,0 +1,25 @@
+// The median time that the requests of a route take, learnt from answers. The median says how long the
+// usual work is even if a quarter of the servers are slow.
+
+/** Each answer moves the estimate by this share towards itself. */
+const step = 0.04
+/** Before the first answer, work is taken to be this share of the route's target latency. */
+const assumedTargetShare = 0.4
+
+export interface WorkEstimates {
+  read: (route: string, targetLatencyMilliseconds: number) => number
+  note: (route: string, targetLatencyMilliseconds: number, milliseconds: number) => void
+}
+
+/** Creates estimates without an answer. */
+export function createWorkEstimates (): WorkEstimates {
+  const estimates = new Map<string, number>()
+  const read = (route: string, targetLatencyMilliseconds: number): number => estimates.get(route) ?? targetLatencyMilliseconds * assumedTargetShare
+  return {
+    read,
+    note: (route, targetLatencyMilliseconds, milliseconds) => {
+      const present = read(route, targetLatencyMilliseconds)
+      estimates.set(route, present * (milliseconds > present ? 1 + step : 1 - step))
+    }
+  }
+}
--- /dev/null
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -0,0 +1,175 @@
+// Starts an entry host on the users' platform: its listeners, the request path, and the processes that
+// keep its view of configuration, servers and entry hosts up to date.
+import type { Server } from 'node:http'
+import { randomUUID } from 'node:crypto'
+import { createLogger, type LogLevel } from '@siskinbeam/logging/createLogger'
+import { createMetrics } from '@siskinbeam/metrics/createMetrics'
+import { createStoreClient } from '@siskinbeam/platform-adapter/createStoreClient'
+import { maximumAddresses } from '@siskinbeam/platform-adapter/guestDialect'
+import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
+import { createRandom, sample } from '@siskinbeam/random/createRandom'
+import { createRetryShare, noteFirstSend, takeFurtherSend, type RetryShareState } from '@siskinbeam/retry-share/retryShare'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
+import { createDutyState } from '@siskinbeam/watch-duty/watchDuty'
+import { followSource } from './dataCentre/followSource.js'
+import { createMembers } from './dataCentre/keepMembers.js'
+import type { Member } from './dataCentre/peerMessages.js'
+import { servePeers } from './dataCentre/servePeers.js'
+import { createView } from './dataCentre/view.js'
+import { watchStore } from './dataCentre/watchStore.js'
+import { createAddressListener, createGuestListener, createReadinessListener } from './guestListeners.js'
+import type { PlatformHost } from './platformHost.js'
+import { createServerLinks } from './servers/serverLinks.js'
+
+export interface StartPlatformHostOptions {
+  settings: HostSettings
+  logLevel: LogLevel
+  /** Receives a whole log line without its line end. */
+  writeLog: (line: string) => void
+}
+
+export interface RunningPlatformHost {
+  applySettings: (settings: HostSettings) => void
+  /** Stops taking guests, answers those that are there, and ends. */
+  leave: () => Promise<void>
+  dump: () => string
+  renderMetrics: () => string
+}
+
+/** Guests keep an answer about addresses for its time to live; some keep it longer and then try another host. */
+const listenAfterLeavingMilliseconds = 2_400
+/** Time to leave over for the end of the process. */
+const endMarginMilliseconds = 700
+const drainPollMilliseconds = 20
+/** A host that was asked to watch does so for this long. */
+const watchForFollowersMilliseconds = 2_000
+/** Part of the budget that hosts use, since they count their own sends only. */
+const usedRetryShare = 0.8
+
+/** Starts the host. */
+export async function startPlatformHost (options: StartPlatformHostOptions): Promise<RunningPlatformHost> {
+  let { settings } = options
+  const boot = randomUUID()
+  const logger = createLogger({ component: 'entry-host', level: options.logLevel, fields: { host: settings.host }, write: options.writeLog })
+  const metrics = createMetrics()
+  const random = createRandom(Math.floor(Math.random() * 0x7fff_ffff))
+  const now = (): number => performance.now()
+  let leaving = false
+  let followedAt = -Infinity
+
+  const duty = createDutyState({ name: settings.host, peerAddress: settings.peerAddress, guestAddress: settings.guestAddress, processorShare: settings.processorShare })
+  const shares = new Map<string, RetryShareState>()
+  const shareOf = (service: string): RetryShareState => {
+    const share = shares.get(service) ?? createRetryShare()
+    shares.set(service, share)
+    return share
+  }
+  const links = createServerLinks({ now, onConnectionOpened: () => metrics.count('server_connections_total') })
+  const host: PlatformHost = {
+    settings,
+    logger,
+    metrics,
+    random,
+    now,
+    routes: () => view.routes(),
+    links,
+    leaving: () => leaving,
+    retries: {
+      noteFirstSend: service => noteFirstSend(shareOf(service), now()),
+      take: (service, purpose) => takeFurtherSend(shareOf(service), {
+        ratio: settings.retryRatio * usedRetryShare,
+        fixedSends: settings.retryFixedSends * usedRetryShare / (duty.hosts.size * settings.dataCentres),
+        windowMilliseconds: settings.retryWindowMilliseconds
+      }, purpose, now())
+    }
+  }
+  const view = createView({ logger, metrics, now, onServers: (registry, ids) => links.follow(registry, ids) })
+  const isReady = (): boolean => !leaving && view.routes() !== undefined && view.registry.version > 0
+  const own = (): Member => ({ ...duty.own, dataCentre: settings.dataCentre, ready: isReady() })
+  const members = createMembers(own, now)
+  const store = createStoreClient({ address: settings.storeAddress, onCall: (call, outcome) => metrics.count(`store_calls_total{call="${call}",outcome="${outcome}"}`) })
+  const watch = watchStore({ host, view, store, isNeeded: () => follower.isOwnSource() || now() - followedAt < watchForFollowersMilliseconds })
+  const follower = followSource({ host, duty, own, view, members, store, watch })
+  const peers = servePeers({
+    host,
+    boot,
+    view,
+    members,
+    confirmedAt: () => Math.max(follower.confirmedAt(), watch.confirmedAt()),
+    failingSince: watch.failingSince,
+    onCaller: request => { if (request.follows) followedAt = now() }
+  })
+  const guests = createGuestListener(host)
+  view.onChange(guests.applyLimits)
+  view.onChange(peers.flush)
+
+  const listAddresses = (): string[] => {
+    const ready = members.list().filter(member => member.ready).map(({ guestAddress }) => guestAddress)
+    return ready.length <= maximumAddresses ? ready : sample(random, ready, maximumAddresses)
+  }
+  const listeners: Array<[Server, string]> = [
+    [guests.server, settings.guestAddress],
+    [createAddressListener({ host, listAddresses }), settings.addressListAddress],
+    [createReadinessListener(host, isReady), settings.readinessAddress],
+    [peers.server, settings.peerAddress]
+  ]
+  await Promise.all(listeners.map(([server, address]) => listen(server, address)))
+  logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress })
+
+  const waitForGuests = async (until: number): Promise<void> => {
+    if (guests.inFlight() === 0 || now() >= until) return
+    await wait(drainPollMilliseconds)
+    await waitForGuests(until)
+  }
+  const leave = async (): Promise<void> => {
+    const startedAt = now()
+    leaving = true
+    logger.info('host leaving', { inFlight: guests.inFlight() })
+    peers.flush()
+    follower.announce().catch(() => {})
+    await wait(listenAfterLeavingMilliseconds)
+    guests.server.close()
+    await waitForGuests(startedAt + settings.graceMilliseconds - endMarginMilliseconds)
+    logger.info('host stopped', { inFlight: guests.inFlight(), milliseconds: Math.round(now() - startedAt) })
+    watch.stop()
+    follower.stop()
+    links.close()
+    store.close()
+    listeners.forEach(([server]) => {
+      server.close()
+      server.closeAllConnections()
+    })
+  }
+
+  return {
+    applySettings: next => {
+      settings = next
+      host.settings = next
+      logger.info('settings reloaded', { seeds: next.seedPeers.join(',') })
+    },
+    leave,
+    renderMetrics: metrics.render,
+    dump: () => JSON.stringify({
+      host: settings.host,
+      boot,
+      leaving,
+      configuration: view.routes()?.configuration.version,
+      ageMilliseconds: Math.round(now() - follower.confirmedAt()),
+      members: members.list(),
+      servers: [...view.registry.servers.values()],
+      metrics: metrics.snapshot()
+    })
+  }
+}
+
+function wait (milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+function listen (server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address)
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => resolve())
+  })
+}
--- /dev/null
+++ b/routing/server-ranking/src/rankServers.ts
@@ -0,0 +1,68 @@
+// Estimates when a server would have finished one more request, from its answer to a question that was
+// asked milliseconds before, and ranks servers by it.
+//
+// A server shares its machine with others, so its pace changes many times a second. A slow pace is
+// therefore not taken to last: after `paceHorizonMilliseconds` the server is assumed to work as usual.
+
+/** What a server says of itself. */
+export interface ServerLoad {
+  running: number
+  waiting: number
+  slots: number
+  /** How long work takes at this moment; 1 is as usual. */
+  pace: number
+}
+
+/** What one host knows of a server when it ranks it. */
+export interface ServerView {
+  load: ServerLoad
+  /** Sends of this host that the load does not show yet. */
+  unreported: number
+  sameDataCentre: boolean
+  /** Whether the server started a short time ago. */
+  cold: boolean
+  /** Share of this host's latest sends that failed there, 0 to 1. */
+  failureShare: number
+}
+
+export interface RankedServer<Server> {
+  server: Server
+  /** Milliseconds until the answer. */
+  estimate: number
+  /** Whether the request would start at once. */
+  hasRoom: boolean
+}
+
+/** Servers report their pace anew a few times a second; half of that time it still lasts on average. */
+const paceHorizonMilliseconds = 250
+const coldFactor = 2
+/** Two trips between data centres, and a small preference for the own one while it has room. */
+const otherDataCentreMilliseconds = 30
+const highestFailureShare = 0.95
+/** Work on a nearly full server is slower on some machines. */
+const fullnessFactor = 0.15
+
+/** Milliseconds until a server would have answered one more request of `workMilliseconds`. */
+export function estimateCompletion (view: ServerView, workMilliseconds: number): number {
+  const { load } = view
+  const pace = Math.max(1, load.pace)
+  const slowed = Math.min((pace - 1) * workMilliseconds, paceHorizonMilliseconds * (1 - 1 / pace))
+  const occupied = load.running + load.waiting + view.unreported
+  const ahead = Math.max(0, occupied + 1 - load.slots) / Math.max(1, load.slots)
+  const fullness = 1 + fullnessFactor * Math.min(1, occupied / Math.max(1, load.slots))
+  const work = workMilliseconds * (view.cold ? coldFactor : 1) * fullness
+  const wait = ahead * (work + slowed)
+  const failures = 1 / (1 - Math.min(highestFailureShare, view.failureShare))
+  return (work + slowed + wait) * failures + (view.sameDataCentre ? 0 : otherDataCentreMilliseconds)
+}
+
+/** Ranks servers, the best first. */
+export function rankServers<Server> (views: Array<{ server: Server, view: ServerView }>, workMilliseconds: number): Array<RankedServer<Server>> {
+  return views
+    .map(({ server, view }) => ({
+      server,
+      estimate: estimateCompletion(view, workMilliseconds),
+      hasRoom: view.load.running + view.load.waiting + view.unreported < view.load.slots
+    }))
+    .sort((first, second) => first.estimate - second.estimate)
+}
--- a/stand-ins/platform/src/serveHttp.ts
+++ b/stand-ins/platform/src/serveHttp.ts
@@ -1,7 +1,7 @@
 // The HTTP listener that the stand-ins share: whole request bodies in, JSON or bytes out.
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { splitAddress } from '@siskinbeam/settings/settingChecks'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
 
 /** A reply; a body of bytes is sent as it is, anything else as JSON. */
 export interface Reply {
