--- /dev/null
+++ b/routing/server-ranking/test/rankServers.test.ts
@@ -0,0 +1,52 @@
+// Guards the choice of a server: against one that is full, slow, cold, failing or far while a better one
+// has answered, and against a pace that is taken to last for ever.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createRandom } from '@siskinbeam/random/createRandom'
+import { chooseAsked } from '../src/chooseAsked.js'
+import { estimateCompletion, rankServers, type ServerView } from '../src/rankServers.js'
+
+const seed = 20_261_204
+const usual: ServerView = { load: { running: 0, waiting: 0, slots: 3, pace: 1 }, unreported: 0, sameDataCentre: true, cold: false, failureShare: 0 }
+const best = (views: Record<string, ServerView>): string | undefined =>
+  rankServers(Object.entries(views).map(([server, view]) => ({ server, view })), 200)[0]?.server
+
+test('a usual server goes before each that has a drawback', () => {
+  const drawbacks: Record<string, Partial<ServerView>> = {
+    full: { load: { ...usual.load, running: 3 } },
+    slow: { load: { ...usual.load, pace: 7 } },
+    cold: { cold: true },
+    failing: { failureShare: 0.5 },
+    far: { sameDataCentre: false },
+    justUsed: { unreported: 3 }
+  }
+  Object.entries(drawbacks).forEach(([name, drawback]) => assert.equal(best({ [name]: { ...usual, ...drawback }, usual }), 'usual', name))
+})
+
+test('a far server with room goes before a near one that is full', () => {
+  assert.equal(best({ near: { ...usual, load: { ...usual.load, running: 3, waiting: 2 } }, far: { ...usual, sameDataCentre: false } }), 'far')
+})
+
+test('a slow pace is not taken to last for the whole of the work', () => {
+  assert.ok(estimateCompletion({ ...usual, load: { ...usual.load, pace: 7 } }, 1_000) < 2_000)
+})
+
+test('failures of a server rank it and do not lengthen its estimate', () => {
+  assert.equal(estimateCompletion({ ...usual, failureShare: 0.9 }, 200), estimateCompletion(usual, 200))
+})
+
+test(`the first round asks near servers that answer, later rounds go further (seed ${seed})`, () => {
+  const random = createRandom(seed)
+  const candidates = [
+    ...Array.from({ length: 4 }, (_, index) => ({ name: `near-${index}`, sameDataCentre: true, avoided: index === 0 })),
+    ...Array.from({ length: 20 }, (_, index) => ({ name: `far-${index}`, sameDataCentre: false, avoided: false }))
+  ]
+  const asked = (round: number): string[] => chooseAsked({ candidates, round, random }).map(({ name }) => name).sort()
+  assert.deepEqual(asked(0), ['near-1', 'near-2', 'near-3'])
+  assert.ok(Array.from({ length: 20 }, () => asked(1)).flat().some(name => name.startsWith('far')))
+  assert.ok(Array.from({ length: 20 }, () => asked(1)).flat().every(name => name !== 'near-0'))
+})
+
+test('servers that are avoided are asked if no other is left', () => {
+  assert.equal(chooseAsked({ candidates: [{ sameDataCentre: true, avoided: true }], round: 0, random: () => 0 }).length, 1)
+})
