--- a/bundle/route-table/src/createRouteTable.ts
+++ b/bundle/route-table/src/createRouteTable.ts
@@ -7,6 +7,8 @@
   configuration: Configuration
   findRoute: (host: string, path: string) => Route | undefined
   findService: (name: string) => ServiceRule | undefined
+  /** Whether requests of another route to this service are more important. */
+  isLessImportant: (route: Route, service: string) => boolean
 }
 
 interface HostRoutes {
@@ -26,11 +28,16 @@
   hosts.forEach(routes => {
     routes.lengths = [...new Set([...routes.byPrefix.keys()].map(prefix => prefix.length))].sort((first, second) => second - first)
   })
+  const highestPriorities = new Map<string, number>()
+  configuration.routes.forEach(({ priority, services }) => services.filter(({ weight }) => weight > 0).forEach(({ service }) => {
+    highestPriorities.set(service, Math.min(priority, highestPriorities.get(service) ?? Infinity))
+  }))
   const services = new Map(configuration.services.map(service => [service.name, service]))
 
   return {
     configuration,
     findService: name => services.get(name),
+    isLessImportant: ({ priority }, service) => priority > (highestPriorities.get(service) ?? priority),
     findRoute: (host, path) => {
       const routes = hosts.get(host.toLowerCase().replace(/:\d+$/, ''))
       const length = routes?.lengths.find(length => routes.byPrefix.has(path.slice(0, length)))
--- a/bundle/route-table/test/createRouteTable.test.ts
+++ b/bundle/route-table/test/createRouteTable.test.ts
@@ -35,3 +35,10 @@
 test('a route without a weight has no service', () => {
   assert.equal(pickService({ ...describe('none', 'a', '/'), services: [{ service: 'one', weight: 0 }] }, 0.5), undefined)
 })
+
+test('a route is less important if another route to the same service has a lower number', () => {
+  const urgent = { ...describe('urgent', 'a', '/u/'), priority: 0 }
+  const usual = { ...describe('usual', 'a', '/v/'), priority: 2 }
+  const { isLessImportant } = createRouteTable({ ...table.configuration, routes: [urgent, usual, { ...usual, name: 'alone', prefix: '/w/', services: [{ service: 'other', weight: 1 }] }] })
+  assert.deepEqual([isLessImportant(urgent, 'desk'), isLessImportant(usual, 'desk'), isLessImportant(usual, 'other')], [false, true, false])
+})
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -4,6 +4,7 @@
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import type { Random } from '@siskinbeam/random/createRandom'
 import type { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import type { FullnessState } from '@siskinbeam/server-ranking/fullnessFactor'
 import type { ServerLinks } from './servers/serverLinks.js'
 
 /** Counters and latencies of this process. */
@@ -24,6 +25,8 @@
   links: ServerLinks
   leaving: () => boolean
   retries: ServiceRetries
+  /** How much nearly full servers of a service slow down. */
+  fullnessOf: (service: string) => FullnessState
 }
 
 /** The retry budgets of all services. */
--- a/daemon/platform-host/src/requestPath/chooseServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseServer.ts
@@ -1,5 +1,6 @@
 // Chooses the server for one send: asks a few for their load and takes the one that would answer first.
 import { chooseAsked } from '@siskinbeam/server-ranking/chooseAsked'
+import { readFullnessFactor } from '@siskinbeam/server-ranking/fullnessFactor'
 import { rankServers, type RankedServer, type ServerView } from '@siskinbeam/server-ranking/rankServers'
 import { askServers, type AskedServer } from '../servers/askServers.js'
 import type { ServerLink } from '../servers/serverLink.js'
@@ -44,16 +45,17 @@
   const { host } = exchange
   const now = host.now()
   const healthy = answers.filter(answer => answer.healthy)
-  const views = (healthy.length > 0 ? healthy : answers).map(server => ({ server, view: describeServer(server, host.settings.dataCentre, now) }))
+  const views = (healthy.length > 0 ? healthy : answers).map(server => ({ server, view: describeServer(server, exchange, now) }))
   return rankServers(views, workMilliseconds)[0]
 }
 
-function describeServer ({ link, load, inFlightWhenAsked }: AskedServer, dataCentre: string, now: number): ServerView {
+function describeServer ({ link, load, inFlightWhenAsked }: AskedServer, { host, service }: GuestExchange, now: number): ServerView {
   return {
     load,
     unreported: Math.max(0, link.inFlight - inFlightWhenAsked),
-    sameDataCentre: link.server.dataCentre === dataCentre,
+    sameDataCentre: link.server.dataCentre === host.settings.dataCentre,
     cold: link.coldUntil > now,
-    failureShare: link.failureShare
+    failureShare: link.failureShare,
+    fullnessFactor: readFullnessFactor(host.fullnessOf(service))
   }
 }
--- a/daemon/platform-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/platform-host/src/requestPath/dispatchRequest.ts
@@ -1,7 +1,9 @@
 // Filter: sends a request to a server, and to another one where that is safe, until there is an answer to
 // pass on or a reason to refuse. What follows a send is looked up by its outcome.
+import { decideAdmission } from '@siskinbeam/admission/decideAdmission'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import { noteAnswerTime, wouldBeNearlyFull } from '@siskinbeam/server-ranking/fullnessFactor'
 import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
 import type { Route } from '@siskinbeam/route-table/configuration'
 import type { AskedServer } from '../servers/askServers.js'
@@ -35,6 +37,8 @@
 
 const firstChoiceRounds = 3
 const hedgeChoiceRounds = 1
+/** Answers of servers at this pace or faster tell of the work itself. */
+const usualPace = 1.2
 /** With less time than this share of the usual work left, a further send would not be answered in time. */
 const leastWorkShare = 0.5
 const refusedRetryMilliseconds = 60
@@ -71,9 +75,15 @@
     refuseUnsent(dispatch, ResultCode.DeadlineExceededBeforeSend, `${Math.round(left)} ms are left`, refusedRetryMilliseconds)
     return
   }
-  if (choice.estimate > left) {
-    refuseUnsent(dispatch, ResultCode.Overloaded, `the best server would take ${Math.round(choice.estimate)} of ${Math.round(left)} ms`,
-      Math.min(longestRetryAfterMilliseconds, choice.estimate - left + refusedRetryMilliseconds))
+  const admission = decideAdmission({
+    estimate: choice.estimate,
+    elapsed: host.now() - exchange.receivedAt,
+    targetLatencyMilliseconds: route.targetLatencyMilliseconds,
+    left,
+    isLessImportant: host.routes()?.isLessImportant(route, exchange.service) ?? false
+  })
+  if (!admission.admitted) {
+    refuseUnsent(dispatch, ResultCode.Overloaded, `the best server would take ${Math.round(choice.estimate)} of ${Math.round(left)} ms`, admission.retryAfterMilliseconds)
     return
   }
   if (exchange.sends === 0) host.retries.noteFirstSend(exchange.service)
@@ -84,8 +94,7 @@
 type FollowUp<Outcome extends SendOutcome> = (dispatch: Dispatch, link: ServerLink, result: Extract<SendResult, { outcome: Outcome }>) => Promise<void> | void
 
 const followUps: { [Outcome in SendOutcome]: FollowUp<Outcome> } = {
-  [SendOutcome.Answered]: ({ exchange, route }, link, { answer }) => {
-    if (exchange.sends === 1) work.note(route.name, route.targetLatencyMilliseconds, exchange.host.now() - exchange.receivedAt)
+  [SendOutcome.Answered]: ({ exchange }, link, { answer }) => {
     relayAnswer(exchange, answer, link.server.id)
   },
   [SendOutcome.Failed]: (dispatch, link, { answer }) => {
@@ -140,9 +149,20 @@
   return winner
 }
 
-async function sendTo ({ exchange, tried }: Dispatch, { server }: RankedServer<AskedServer>): Promise<ServerResult> {
+async function sendTo ({ exchange, route, tried }: Dispatch, { server }: RankedServer<AskedServer>): Promise<ServerResult> {
   tried.add(server.link)
-  return { link: server.link, result: await sendToServer(exchange, server) }
+  const sentAt = exchange.host.now()
+  const result = await sendToServer(exchange, server)
+  const usualMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
+  if (result.outcome === SendOutcome.Answered) {
+    const milliseconds = exchange.host.now() - sentAt
+    const { load } = server
+    work.note(route.name, route.targetLatencyMilliseconds, milliseconds)
+    if (load.pace <= usualPace && load.waiting === 0) {
+      noteAnswerTime(exchange.host.fullnessOf(exchange.service), wouldBeNearlyFull(load.running, load.slots), milliseconds / usualMilliseconds)
+    }
+  }
+  return { link: server.link, result }
 }
 
 /** Sends the request a second time once it is late, if a server with room is found. Resolves with undefined if not. */
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -8,7 +8,8 @@
 import { maximumAddresses } from '@siskinbeam/platform-adapter/guestDialect'
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
-import { createRetryShare, noteFirstSend, takeFurtherSend, type RetryShareState } from '@siskinbeam/retry-share/retryShare'
+import { createRetryShare, noteFirstSend, takeFurtherSend } from '@siskinbeam/retry-share/retryShare'
+import { createFullness } from '@siskinbeam/server-ranking/fullnessFactor'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { createDutyState } from '@siskinbeam/watch-duty/watchDuty'
 import { followSource } from './dataCentre/followSource.js'
@@ -60,12 +61,7 @@
   let followedAt = -Infinity
 
   const duty = createDutyState({ name: settings.host, peerAddress: settings.peerAddress, guestAddress: settings.guestAddress, processorShare: settings.processorShare })
-  const shares = new Map<string, RetryShareState>()
-  const shareOf = (service: string): RetryShareState => {
-    const share = shares.get(service) ?? createRetryShare()
-    shares.set(service, share)
-    return share
-  }
+  const shareOf = keepByName(createRetryShare)
   const links = createServerLinks({ now, onConnectionOpened: () => metrics.count('server_connections_total') })
   const host: PlatformHost = {
     settings,
@@ -76,6 +72,7 @@
     routes: () => view.routes(),
     links,
     leaving: () => leaving,
+    fullnessOf: keepByName(createFullness),
     retries: {
       noteFirstSend: service => noteFirstSend(shareOf(service), now()),
       take: (service, purpose) => takeFurtherSend(shareOf(service), {
@@ -174,6 +171,16 @@
   }
 }
 
+/** Keeps one state for each name, made at its first use. */
+function keepByName<State> (create: () => State): (name: string) => State {
+  const states = new Map<string, State>()
+  return name => {
+    const state = states.get(name) ?? create()
+    states.set(name, state)
+    return state
+  }
+}
+
 function wait (milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
--- a/routing/server-ranking/src/rankServers.ts
+++ b/routing/server-ranking/src/rankServers.ts
@@ -3,6 +3,7 @@
 //
 // A server shares its machine with others, so its pace changes many times a second. A slow pace is
 // therefore not taken to last: after `paceHorizonMilliseconds` the server is assumed to work as usual.
+import { wouldBeNearlyFull } from './fullnessFactor.js'
 
 /** What a server says of itself. */
 export interface ServerLoad {
@@ -23,6 +24,8 @@
   cold: boolean
   /** Share of this host's latest sends that failed there, 0 to 1. */
   failureShare: number
+  /** How much longer work takes on servers of this service that are nearly full. */
+  fullnessFactor: number
 }
 
 export interface RankedServer<Server> {
@@ -41,8 +44,6 @@
 /** Two trips between data centres, and a small preference for the own one while it has room. */
 const otherDataCentreMilliseconds = 30
 const highestFailureShare = 0.95
-/** Work on a nearly full server is slower on some machines. */
-const fullnessFactor = 0.15
 
 /** Milliseconds until a server would have answered one more request of `workMilliseconds`. */
 export function estimateCompletion (view: ServerView, workMilliseconds: number): number {
@@ -51,7 +52,7 @@
   const slowed = Math.min((pace - 1) * workMilliseconds, paceHorizonMilliseconds * (1 - 1 / pace))
   const occupied = load.running + load.waiting + view.unreported
   const ahead = Math.max(0, occupied + 1 - load.slots) / Math.max(1, load.slots)
-  const fullness = 1 + fullnessFactor * Math.min(1, occupied / Math.max(1, load.slots))
+  const fullness = wouldBeNearlyFull(occupied, load.slots) ? view.fullnessFactor : 1
   const work = workMilliseconds * (view.cold ? coldFactor : 1) * fullness
   const wait = ahead * (work + slowed)
   return work + slowed + wait
--- a/routing/server-ranking/test/rankServers.test.ts
+++ b/routing/server-ranking/test/rankServers.test.ts
@@ -4,10 +4,11 @@
 import { test } from 'node:test'
 import { createRandom } from '@siskinbeam/random/createRandom'
 import { chooseAsked } from '../src/chooseAsked.js'
+import { createFullness, noteAnswerTime, readFullnessFactor } from '../src/fullnessFactor.js'
 import { estimateCompletion, rankServers, type ServerView } from '../src/rankServers.js'
 
 const seed = 20_261_204
-const usual: ServerView = { load: { running: 0, waiting: 0, slots: 3, pace: 1 }, unreported: 0, sameDataCentre: true, cold: false, failureShare: 0 }
+const usual: ServerView = { load: { running: 0, waiting: 0, slots: 3, pace: 1 }, unreported: 0, sameDataCentre: true, cold: false, failureShare: 0, fullnessFactor: 1.7 }
 const best = (views: Record<string, ServerView>): string | undefined =>
   rankServers(Object.entries(views).map(([server, view]) => ({ server, view })), 200)[0]?.server
 
@@ -47,6 +48,23 @@
   assert.ok(Array.from({ length: 20 }, () => asked(1)).flat().every(name => name !== 'near-0'))
 })
 
+test('a server that one more request would fill goes after one that stays below, if full servers are slow', () => {
+  const almostFull = { ...usual, load: { ...usual.load, running: 2 } }
+  const busier = { ...usual, load: { ...usual.load, running: 1, pace: 1.2 } }
+  assert.equal(best({ almostFull, busier }), 'busier')
+  assert.equal(best({ almostFull: { ...almostFull, fullnessFactor: 1 }, busier: { ...busier, fullnessFactor: 1 } }), 'almostFull')
+})
+
+test('the factor of fullness is learnt, and is 1 for servers that do not slow down', () => {
+  const learn = (multipleWhenFull: number): number => {
+    const state = createFullness()
+    Array.from({ length: 400 }, (_, index) => noteAnswerTime(state, index % 2 === 0, (index % 2 === 0 ? multipleWhenFull : 1) * (0.8 + 0.4 * ((index * 7) % 11) / 10)))
+    return readFullnessFactor(state)
+  }
+  assert.ok(Math.abs(learn(1.7) - 1.7) < 0.2)
+  assert.ok(learn(1) < 1.1)
+})
+
 test('servers that are avoided are asked if no other is left', () => {
   assert.equal(chooseAsked({ candidates: [{ sameDataCentre: true, avoided: true }], round: 0, random: () => 0 }).length, 1)
 })
