--- a/daemon/platform-host/src/guestListeners.ts
+++ b/daemon/platform-host/src/guestListeners.ts
@@ -60,6 +60,7 @@
     requestId,
     path: (request.url ?? '').split('?', 1)[0] ?? '',
     receivedAt,
+    waitMilliseconds,
     deadlineAt: receivedAt + waitMilliseconds,
     route: undefined,
     service: '',
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -4,6 +4,7 @@
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import type { Random } from '@siskinbeam/random/createRandom'
 import type { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import type { CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import type { FullnessState } from '@siskinbeam/server-ranking/fullnessFactor'
 import type { ServerLinks } from './servers/serverLinks.js'
 
@@ -27,6 +28,8 @@
   retries: ServiceRetries
   /** How much nearly full servers of a service slow down. */
   fullnessOf: (service: string) => FullnessState
+  /** By how much answers of a service take longer than estimated. */
+  correctionOf: (service: string) => CorrectionState
 }
 
 /** The retry budgets of all services. */
--- a/daemon/platform-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/platform-host/src/requestPath/dispatchRequest.ts
@@ -1,8 +1,9 @@
 // Filter: sends a request to a server, and to another one where that is safe, until there is an answer to
 // pass on or a reason to refuse. What follows a send is looked up by its outcome.
-import { decideAdmission } from '@siskinbeam/admission/decideAdmission'
+import { decideAdmission, Importance } from '@siskinbeam/admission/decideAdmission'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import { noteEstimate } from '@siskinbeam/server-ranking/estimateCorrection'
 import { noteAnswerTime, wouldBeNearlyFull } from '@siskinbeam/server-ranking/fullnessFactor'
 import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
 import type { Route } from '@siskinbeam/route-table/configuration'
@@ -13,6 +14,7 @@
 import { refuse } from './refuse.js'
 import { relayAnswer } from './relayAnswer.js'
 import { SendOutcome, sendToServer, type SendResult } from './sendToServer.js'
+import { createLongestWaits } from './longestWaits.js'
 import { createWorkEstimates } from './workEstimates.js'
 
 interface Dispatch {
@@ -48,7 +50,13 @@
 /** A hedge leaves this share of the usual work before the target latency. */
 const hedgeWorkShare = 1.3
 
+/** Outcomes whose time tells how good an estimate was. */
+const correctingOutcomes = new Set([SendOutcome.Answered, SendOutcome.TimedOut])
+/** Guests that come back wait for less time than before, by at least this. */
+const returnMarginMilliseconds = 50
+
 const work = createWorkEstimates()
+const longestWaits = createLongestWaits()
 
 export const dispatchRequest: Filter = exchange => {
   const { route } = exchange
@@ -75,15 +83,16 @@
     refuseUnsent(dispatch, ResultCode.DeadlineExceededBeforeSend, `${Math.round(left)} ms are left`, refusedRetryMilliseconds)
     return
   }
+  const estimate = choice.estimate * host.correctionOf(exchange.service).factor
   const admission = decideAdmission({
-    estimate: choice.estimate,
+    estimate,
     elapsed: host.now() - exchange.receivedAt,
     targetLatencyMilliseconds: route.targetLatencyMilliseconds,
     left,
-    isLessImportant: host.routes()?.isLessImportant(route, exchange.service) ?? false
+    importance: readImportance(dispatch)
   })
   if (!admission.admitted) {
-    refuseUnsent(dispatch, ResultCode.Overloaded, `the best server would take ${Math.round(choice.estimate)} of ${Math.round(left)} ms`, admission.retryAfterMilliseconds)
+    refuseUnsent(dispatch, ResultCode.Overloaded, `the best server would take ${Math.round(estimate)} of ${Math.round(left)} ms`, admission.retryAfterMilliseconds)
     return
   }
   if (exchange.sends === 0) host.retries.noteFirstSend(exchange.service)
@@ -149,13 +158,20 @@
   return winner
 }
 
-async function sendTo ({ exchange, route, tried }: Dispatch, { server }: RankedServer<AskedServer>): Promise<ServerResult> {
+function readImportance ({ exchange, route }: Dispatch): Importance {
+  const { host, service, waitMilliseconds } = exchange
+  if (waitMilliseconds < longestWaits.note(route.name, waitMilliseconds) - returnMarginMilliseconds) return Importance.ComesBack
+  return host.routes()?.isLessImportant(route, service) === true ? Importance.Less : Importance.Most
+}
+
+async function sendTo ({ exchange, route, tried }: Dispatch, { server, estimate }: RankedServer<AskedServer>): Promise<ServerResult> {
   tried.add(server.link)
   const sentAt = exchange.host.now()
   const result = await sendToServer(exchange, server)
   const usualMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
+  const milliseconds = exchange.host.now() - sentAt
+  if (correctingOutcomes.has(result.outcome)) noteEstimate(exchange.host.correctionOf(exchange.service), estimate, milliseconds)
   if (result.outcome === SendOutcome.Answered) {
-    const milliseconds = exchange.host.now() - sentAt
     const { load } = server
     work.note(route.name, route.targetLatencyMilliseconds, milliseconds)
     if (load.pace <= usualPace && load.waiting === 0) {
--- a/daemon/platform-host/src/requestPath/guestExchange.ts
+++ b/daemon/platform-host/src/requestPath/guestExchange.ts
@@ -10,6 +10,8 @@
   requestId: string
   path: string
   receivedAt: number
+  /** How long the guest said that it waits. */
+  waitMilliseconds: number
   /** When the final answer is due: the guest stops waiting, or the route's timeout is reached. */
   deadlineAt: number
   route: Route | undefined
--- a/daemon/platform-host/src/requestPath/workEstimates.ts
+++ b/daemon/platform-host/src/requestPath/workEstimates.ts
@@ -1,8 +1,8 @@
 // The median time that the requests of a route take, learnt from answers. The median says how long the
 // usual work is even if a quarter of the servers are slow.
+import { trackQuantile } from '@siskinbeam/server-ranking/trackQuantile'
 
-/** Each answer moves the estimate by this share towards itself. */
-const step = 0.04
+const step = 0.08
 /** Before the first answer, work is taken to be this share of the route's target latency. */
 const assumedTargetShare = 0.4
 
@@ -18,8 +18,7 @@
   return {
     read,
     note: (route, targetLatencyMilliseconds, milliseconds) => {
-      const present = read(route, targetLatencyMilliseconds)
-      estimates.set(route, present * (milliseconds > present ? 1 + step : 1 - step))
+      estimates.set(route, trackQuantile({ estimate: read(route, targetLatencyMilliseconds), sample: milliseconds, quantile: 0.5, step }))
     }
   }
 }
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -9,6 +9,7 @@
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
 import { createRetryShare, noteFirstSend, takeFurtherSend } from '@siskinbeam/retry-share/retryShare'
+import { createCorrection } from '@siskinbeam/server-ranking/estimateCorrection'
 import { createFullness } from '@siskinbeam/server-ranking/fullnessFactor'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { createDutyState } from '@siskinbeam/watch-duty/watchDuty'
@@ -73,6 +74,7 @@
     links,
     leaving: () => leaving,
     fullnessOf: keepByName(createFullness),
+    correctionOf: keepByName(createCorrection),
     retries: {
       noteFirstSend: service => noteFirstSend(shareOf(service), now()),
       take: (service, purpose) => takeFurtherSend(shareOf(service), {
--- a/limits/admission/src/decideAdmission.ts
+++ b/limits/admission/src/decideAdmission.ts
@@ -1,7 +1,16 @@
 // Whether a request is sent although the best server would take long. Work that would end late fills slots
 // that would serve others in time, so a request that can't be answered within its target latency is
-// refused at once, and its guest told when to come back. The most important requests of a service are
-// sent as long as their answer comes before their deadline.
+// refused at once, and its guest told when to come back. More important requests are given more time, and
+// a guest that comes back after a refusal is sent on as long as the answer comes before its deadline.
+
+export enum Importance {
+  /** Other requests of the service are more important. */
+  Less = 'less',
+  /** No request of the service is more important. */
+  Most = 'most',
+  /** A guest that was refused before; its target latency counts from its first attempt. */
+  ComesBack = 'comes-back'
+}
 
 export interface AdmissionQuestion {
   /** Milliseconds that the best server would take. */
@@ -11,8 +20,7 @@
   targetLatencyMilliseconds: number
   /** Milliseconds until the final answer is due. */
   left: number
-  /** Whether other requests of the service are more important. */
-  isLessImportant: boolean
+  importance: Importance
 }
 
 export interface AdmissionAnswer {
@@ -20,19 +28,22 @@
   retryAfterMilliseconds: number
 }
 
-/** A late answer is worth little, and the estimate is uncertain: up to this share of the target it is admitted. */
-const targetShare = 1.1
-const shortestRetryAfterMilliseconds = 60
-const longestRetryAfterMilliseconds = 400
+/** The time that a request may take, as a multiple of its target latency. */
+const targetShares: Record<Importance, number> = {
+  [Importance.Less]: 1,
+  [Importance.Most]: 1.25,
+  [Importance.ComesBack]: Infinity
+}
+/** A refused guest comes back once the queues of the moment have been served. */
+const shortestRetryAfterMilliseconds = 250
+const longestRetryAfterMilliseconds = 700
 
 /** Decides on one request. */
-export function decideAdmission (question: AdmissionQuestion): AdmissionAnswer {
-  const limit = question.isLessImportant
-    ? Math.min(question.left, targetShare * question.targetLatencyMilliseconds - question.elapsed)
-    : question.left
-  const excess = question.estimate - limit
+export function decideAdmission ({ estimate, elapsed, targetLatencyMilliseconds, left, importance }: AdmissionQuestion): AdmissionAnswer {
+  const limit = Math.min(left, targetShares[importance] * targetLatencyMilliseconds - elapsed)
+  const excess = estimate - limit
   return {
     admitted: excess <= 0,
-    retryAfterMilliseconds: Math.min(longestRetryAfterMilliseconds, Math.max(shortestRetryAfterMilliseconds, excess))
+    retryAfterMilliseconds: Math.min(longestRetryAfterMilliseconds, shortestRetryAfterMilliseconds + Math.max(0, excess))
   }
 }
--- a/routing/server-ranking/src/fullnessFactor.ts
+++ b/routing/server-ranking/src/fullnessFactor.ts
@@ -1,5 +1,6 @@
 // How much longer work takes on servers of a service that are nearly full, learnt from answers. Some
 // servers slow down then, so that filling the last slot lowers what they get done; others do not.
+import { trackQuantile } from './trackQuantile.js'
 
 export interface FullnessState {
   /** Medians of the time of an answer as a multiple of the route's usual time. */
@@ -9,8 +10,7 @@
 
 /** Share of its slots from which on a server may count as nearly full. */
 const nearlyFullShare = 0.8
-/** Each answer moves its median by this share. */
-const step = 0.05
+const step = 0.1
 const assumedFactor = 1.3
 const highestFactor = 3
 
@@ -27,7 +27,7 @@
 /** Takes note of an answer: whether its server was nearly full, and its time as a multiple of the usual. */
 export function noteAnswerTime (state: FullnessState, nearlyFull: boolean, multiple: number): void {
   const kind = nearlyFull ? 'full' : 'free'
-  state[kind] *= multiple > state[kind] ? 1 + step : 1 - step
+  state[kind] = trackQuantile({ estimate: state[kind], sample: multiple, quantile: 0.5, step })
 }
 
 /** The factor, at least 1. */
--- a/routing/server-ranking/test/rankServers.test.ts
+++ b/routing/server-ranking/test/rankServers.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'node:test'
 import { createRandom } from '@siskinbeam/random/createRandom'
 import { chooseAsked } from '../src/chooseAsked.js'
+import { createCorrection, noteEstimate } from '../src/estimateCorrection.js'
 import { createFullness, noteAnswerTime, readFullnessFactor } from '../src/fullnessFactor.js'
 import { estimateCompletion, rankServers, type ServerView } from '../src/rankServers.js'
 
@@ -68,3 +69,11 @@
 test('servers that are avoided are asked if no other is left', () => {
   assert.equal(chooseAsked({ candidates: [{ sameDataCentre: true, avoided: true }], round: 0, random: () => 0 }).length, 1)
 })
+
+test('the correction follows answers that take longer than estimated, and falls back', () => {
+  const state = createCorrection()
+  Array.from({ length: 40 }, () => noteEstimate(state, 200, 600))
+  assert.ok(state.factor > 2.5)
+  Array.from({ length: 200 }, () => noteEstimate(state, 200, 200))
+  assert.ok(state.factor < 1.1)
+})
