--- a/limits/admission/src/decideAdmission.ts
+++ b/limits/admission/src/decideAdmission.ts
@@ -1,7 +1,8 @@
 // Whether a request is sent although the best server would take long. Work that would end late fills slots
 // that would serve others in time, so a request that can't be answered within its target latency is
-// refused at once, and its guest told when to come back. More important requests are given more time, and
-// a guest that comes back after a refusal is sent on as long as the answer comes before its deadline.
+// refused at once, and its guest told when to come back. More important requests are given more time. A
+// guest that comes back after a refusal is late already, so it is sent while servers are nearly idle and
+// does not take the place of one that can be answered in time.
 
 export enum Importance {
   /** Other requests of the service are more important. */
@@ -30,9 +31,9 @@
 
 /** The time that a request may take, as a multiple of its target latency. */
 const targetShares: Record<Importance, number> = {
-  [Importance.Less]: 1,
-  [Importance.Most]: 1.25,
-  [Importance.ComesBack]: Infinity
+  [Importance.Less]: 0.9,
+  [Importance.Most]: 1.1,
+  [Importance.ComesBack]: 0.75
 }
 /** A refused guest comes back once the queues of the moment have been served. */
 const shortestRetryAfterMilliseconds = 250
