--- a/daemon/entry-host/src/operators/serveOperators.ts
+++ b/core/metrics/src/createOperatorsListener.ts
@@ -1,9 +1,10 @@
-// Metrics and the state dump over plain HTTP for operators' tools. Each request needs the operator key.
+// Metrics and the state dump over plain HTTP for operators' tools. Each request needs the operator key, if there is one.
 import { createServer, type Server } from 'node:http'
 import { createHash, timingSafeEqual } from 'node:crypto'
 
-export interface ServeOperatorsOptions {
-  operatorKey: string
+export interface CreateOperatorsListenerOptions {
+  /** Undefined where the network admits operators only. */
+  operatorKey: string | undefined
   renderMetrics: () => string
   dump: () => string
 }
@@ -13,8 +14,8 @@
 const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
 
 /** Creates the listener; the caller binds it. */
-export function createOperatorsListener ({ operatorKey, renderMetrics, dump }: ServeOperatorsOptions): Server {
-  const expected = digest(`Bearer ${operatorKey}`)
+export function createOperatorsListener ({ operatorKey, renderMetrics, dump }: CreateOperatorsListenerOptions): Server {
+  const expected = operatorKey === undefined ? undefined : digest(`Bearer ${operatorKey}`)
   const pages: Record<string, { type: string, render: () => string }> = {
     '/metrics': { type: 'text/plain; version=0.0.4', render: renderMetrics },
     '/dump': { type: 'application/json', render: dump }
@@ -22,7 +23,7 @@
   const server = createServer({ headersTimeout: 5_000, requestTimeout: 5_000 }, (request, response) => {
     request.resume()
     response.on('error', () => {})
-    if (!timingSafeEqual(digest(request.headers.authorization ?? ''), expected)) {
+    if (expected !== undefined && !timingSafeEqual(digest(request.headers.authorization ?? ''), expected)) {
       response.writeHead(401, { 'content-type': 'text/plain' }).end('the operator key is missing or wrong\n')
       return
     }
--- a/daemon/entry-host/src/startEntryHost.ts
+++ b/daemon/entry-host/src/startEntryHost.ts
@@ -28,7 +28,7 @@
 import type { AddressList } from './entryHost.js'
 import type { entryHostSettings } from './entryHostSettings.js'
 import { describeHost } from './operators/describeHost.js'
-import { createOperatorsListener } from './operators/serveOperators.js'
+import { createOperatorsListener } from '@siskinbeam/metrics/createOperatorsListener'
 import { feedHealth } from './servers/observeServers.js'
 
 type AddressRule = typeof defaultAddressRule
--- a/daemon/platform-host/src/runPlatformHost.ts
+++ b/daemon/platform-host/src/runPlatformHost.ts
@@ -1,22 +1,33 @@
 // Entry point of the daemon on the users' platform.
-import { LogLevel } from '@siskinbeam/logging/createLogger'
+import { createLogger, formatLine, LogLevel } from '@siskinbeam/logging/createLogger'
+import { createLogSink } from '@siskinbeam/logging/createLogSink'
 import { readHostSettings, settingsFileVariable } from '@siskinbeam/platform-adapter/readHostSettings'
 import { startPlatformHost } from './startPlatformHost.js'
+import { watchSettings } from './watchSettings.js'
 
-const settingsPath = process.env[settingsFileVariable] ?? ''
+const standardOutput = 1
 const invalidSettingsExitCode = 78
-const writeLog = (line: string): void => { process.stdout.write(line + '\n') }
+const flushMilliseconds = 200
 
+const settingsPath = process.env[settingsFileVariable] ?? ''
+const sink = createLogSink({ fileDescriptor: standardOutput, now: () => performance.now() })
 const read = readHostSettings(settingsPath)
 if (!read.ok) {
-  writeLog(`event="settings invalid" key=${read.key} expected=${JSON.stringify(read.expected)}`)
+  sink.write(formatLine({ event: 'settings invalid', key: read.key, expected: read.expected }))
+  await sink.flush(flushMilliseconds)
   process.exit(invalidSettingsExitCode)
 }
-const host = await startPlatformHost({ settings: read.settings, logLevel: LogLevel.Info, writeLog })
 
-process.on('SIGTERM', () => { host.leave().then(() => process.exit(0), () => process.exit(1)) })
-process.on('SIGHUP', () => {
-  const reread = readHostSettings(settingsPath)
-  if (reread.ok) host.applySettings(reread.settings)
-  else writeLog(`event="settings not reloaded" key=${reread.key} expected=${JSON.stringify(reread.expected)}`)
+const logger = createLogger({ component: 'entry-host', level: LogLevel.Info, fields: { host: read.settings.host }, write: sink.write })
+const host = await startPlatformHost({ settings: read.settings, logger })
+const settings = watchSettings({ path: settingsPath, logger, apply: host.applySettings })
+
+const exit = async (code: number): Promise<void> => {
+  await sink.flush(flushMilliseconds)
+  process.exit(code)
+}
+process.on('SIGHUP', settings.check)
+process.on('SIGTERM', () => {
+  settings.stop()
+  host.leave().then(() => exit(0), () => exit(1))
 })
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -2,7 +2,7 @@
 // keep its view of configuration, servers and entry hosts up to date.
 import type { Server } from 'node:http'
 import { randomUUID } from 'node:crypto'
-import { createLogger, type LogLevel } from '@siskinbeam/logging/createLogger'
+import type { Logger } from '@siskinbeam/logging/createLogger'
 import { createMetrics } from '@siskinbeam/metrics/createMetrics'
 import { createStoreClient } from '@siskinbeam/platform-adapter/createStoreClient'
 import { maximumAddresses } from '@siskinbeam/platform-adapter/guestDialect'
@@ -20,14 +20,13 @@
 import { createView } from './dataCentre/view.js'
 import { watchStore } from './dataCentre/watchStore.js'
 import { createAddressListener, createGuestListener, createReadinessListener } from './guestListeners.js'
+import { createOperatorsListener } from '@siskinbeam/metrics/createOperatorsListener'
 import type { PlatformHost } from './platformHost.js'
 import { createServerLinks } from './servers/serverLinks.js'
 
 export interface StartPlatformHostOptions {
   settings: HostSettings
-  logLevel: LogLevel
-  /** Receives a whole log line without its line end. */
-  writeLog: (line: string) => void
+  logger: Logger
 }
 
 export interface RunningPlatformHost {
@@ -54,7 +53,7 @@
 export async function startPlatformHost (options: StartPlatformHostOptions): Promise<RunningPlatformHost> {
   let { settings } = options
   const boot = randomUUID()
-  const logger = createLogger({ component: 'entry-host', level: options.logLevel, fields: { host: settings.host }, write: options.writeLog })
+  const { logger } = options
   const metrics = createMetrics()
   const random = createRandom(Math.floor(Math.random() * 0x7fff_ffff))
   const now = (): number => performance.now()
@@ -107,9 +106,24 @@
     onCaller: request => { if (request.follows) followedAt = now() }
   })
   const guests = createGuestListener(host)
+  metrics.gauge('configuration_version', () => view.routes()?.configuration.version ?? 0)
+  metrics.gauge('view_age_milliseconds', () => now() - follower.confirmedAt())
+  metrics.gauge('known_servers', () => view.registry.servers.size)
+  metrics.gauge('live_entry_hosts', () => members.list().length)
+  metrics.gauge('in_flight', guests.inFlight)
   view.onChange(guests.applyLimits)
   view.onChange(peers.flush)
 
+  const dump = (): string => JSON.stringify({
+    host: settings.host,
+    boot,
+    leaving,
+    configuration: view.routes()?.configuration.version,
+    ageMilliseconds: Math.round(now() - follower.confirmedAt()),
+    members: members.list(),
+    servers: [...view.registry.servers.values()],
+    metrics: metrics.snapshot()
+  })
   const listAddresses = (): string[] => {
     const ready = members.list().filter(member => member.ready).map(({ guestAddress }) => guestAddress)
     return ready.length <= maximumAddresses ? ready : sample(random, ready, maximumAddresses)
@@ -118,10 +132,11 @@
     [guests.server, settings.guestAddress],
     [createAddressListener({ host, listAddresses }), settings.addressListAddress],
     [createReadinessListener(host, isReady), settings.readinessAddress],
-    [peers.server, settings.peerAddress]
+    [peers.server, settings.peerAddress],
+    ...(settings.metricsAddress === '' ? [] : [[createOperatorsListener({ operatorKey: undefined, renderMetrics: metrics.render, dump }), settings.metricsAddress] as [Server, string]])
   ]
   await Promise.all(listeners.map(([server, address]) => listen(server, address)))
-  logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress })
+  logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress, metricsAddress: settings.metricsAddress })
 
   const waitForGuests = async (until: number): Promise<void> => {
     if (guests.inFlight() === 0 || now() >= until) return
@@ -160,16 +175,7 @@
     leave,
     stop,
     renderMetrics: metrics.render,
-    dump: () => JSON.stringify({
-      host: settings.host,
-      boot,
-      leaving,
-      configuration: view.routes()?.configuration.version,
-      ageMilliseconds: Math.round(now() - follower.confirmedAt()),
-      members: members.list(),
-      servers: [...view.registry.servers.values()],
-      metrics: metrics.snapshot()
-    })
+    dump
   }
 }
 
--- /dev/null
+++ b/daemon/platform-host/src/watchSettings.ts
@@ -0,0 +1,39 @@
+// Follows the settings file, which may change with SIGHUP or without a signal. A file that can't be read
+// or holds a wrong value changes nothing.
+import { readFileSync } from 'node:fs'
+import type { Logger } from '@siskinbeam/logging/createLogger'
+import { readHostSettings, type HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
+
+export interface WatchSettingsOptions {
+  path: string
+  logger: Logger
+  apply: (settings: HostSettings) => void
+}
+
+export interface SettingsWatch {
+  /** Reads the file now. */
+  check: () => void
+  stop: () => void
+}
+
+/** The file is small, and changes need not be in force at once. */
+const checkMilliseconds = 2_000
+
+/** Starts following. */
+export function watchSettings ({ path, logger, apply }: WatchSettingsOptions): SettingsWatch {
+  let known = readFileSync(path, 'utf8')
+  const check = (): void => {
+    try {
+      const text = readFileSync(path, 'utf8')
+      if (text === known) return
+      known = text
+      const read = readHostSettings(path)
+      if (read.ok) apply(read.settings)
+      else logger.error('settings not reloaded', { key: read.key, expected: read.expected })
+    } catch (error) {
+      logger.error('settings not reloaded', { reason: String(error) })
+    }
+  }
+  const timer = setInterval(check, checkMilliseconds)
+  return { check, stop: () => clearInterval(timer) }
+}
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -1,7 +1,7 @@
 // A platform for tests: the stand-in of the store, scripted servers, and entry hosts in this process.
 import { createServer as createHttpServer, request as startRequest, type IncomingMessage, type ServerResponse } from 'node:http'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
-import { LogLevel } from '@siskinbeam/logging/createLogger'
+import { createLogger } from '@siskinbeam/logging/createLogger'
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
 import { startPlatformHost, type RunningPlatformHost } from '../../src/startPlatformHost.js'
@@ -109,8 +109,8 @@
   store.put('op', 'config', describeConfiguration())
   servers.forEach(server => store.put('servers', server.id, describeEntry(server)))
   const startHost = async (change: Partial<HostSettings> = {}): Promise<RunningPlatformHost> => {
-    const ports = await Promise.all([0, 0, 0, 0].map(findFreePort))
-    const [guestAddress, readinessAddress, peerAddress, addressListAddress] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string, string]
+    const ports = await Promise.all([0, 0, 0, 0, 0].map(findFreePort))
+    const [guestAddress, readinessAddress, peerAddress, addressListAddress, metricsAddress] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string, string, string]
     const own: HostSettings = {
       host: `host-${hosts.length + 1}`,
       dataCentre: 'north',
@@ -118,6 +118,7 @@
       readinessAddress,
       peerAddress,
       addressListAddress,
+      metricsAddress,
       storeAddress: store.address,
       seedPeers: [],
       dataCentres: 1,
@@ -130,7 +131,7 @@
       ...change
     }
     settings.push(own)
-    const host = await startPlatformHost({ settings: own, logLevel: LogLevel.Info, writeLog: line => { logs.push(line) } })
+    const host = await startPlatformHost({ settings: own, logger: createLogger({ component: 'entry-host', fields: { host: own.host }, write: line => { logs.push(line) } }) })
     hosts.push(host)
     return host
   }
