--- a/command/siskinbeamctl/src/runCommandLine.ts
+++ b/command/siskinbeamctl/src/runCommandLine.ts
@@ -6,6 +6,7 @@
 import type { CommandContext, CommandResult, CommandSurroundings } from './commandContext.js'
 import { readCommandSettings, settingDefinitions } from './commandSettings.js'
 import { approveBundleFile, checkBundleFile, createKey, diffBundleReferences, signBundleFile } from './draftCommands.js'
+import { explainRequest } from './explainRequest.js'
 import { dumpHost, showHosts } from './hostCommands.js'
 import { rollOutSubmitted, showHead, showHistory, submitBundle } from './rolloutCommands.js'
 
@@ -31,6 +32,7 @@
   const start: Start = async run => { errors.push(...await run(context)) }
   addDraftCommands(program, start)
   addPlatformCommands(program, start)
+  addLogCommands(program, start)
   try {
     await program.parseAsync(argumentList, { from: 'user' })
   } catch (error) {
@@ -87,6 +89,11 @@
     .action(({ host }: { host: string }) => start(context => dumpHost(context, host)))
 }
 
+function addLogCommands (program: Command, start: Start): void {
+  program.command('explain').argument('<file...>', 'log files of the hosts').requiredOption('--request <id>', 'id of the request').description('print what became of a request and why')
+    .action((files: string[], { request }: { request: string }) => start(context => explainRequest(context, request, files)))
+}
+
 function parseLimit (text: string): number {
   if (!/^\d+$/.test(text) || Number(text) < 1 || Number(text) > mostHistory) throw new InvalidArgumentError(`a whole number from 1 to ${mostHistory}`)
   return Number(text)
--- /dev/null
+++ b/command/siskinbeamctl/test/explainRequest.test.ts
@@ -0,0 +1,35 @@
+// Guards the way from a request's id to its cause: against lines of other requests, and against a cause in
+// what the host believed that is left out.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { CommandContext } from '../src/commandContext.js'
+import { explainRequest } from '../src/explainRequest.js'
+
+const line = (second: number, host: string, event: string, rest = ''): string =>
+  `time=2026-05-03T10:26:0${second}.000Z event=${JSON.stringify(event)} level=info component=entry-host host=${host} ${rest}`
+const first = [
+  line(1, 'a', 'configuration in force', 'configuration=4 routes=18 source=store'),
+  line(2, 'a', 'configuration in force', 'configuration=7 routes=18 source=store'),
+  line(3, 'a', 'server changed', 'server=i-1 state=ready'),
+  line(3, 'a', 'server changed', 'server=i-2 state=ready'),
+  line(4, 'a', 'send failed', 'request=r-1 server=i-1 outcome=broken reason="read ECONNRESET"'),
+  line(5, 'a', 'request refused', 'request=r-1 code=401 status=502'),
+  line(6, 'a', 'configuration in force', 'configuration=9 routes=18 source=store')
+]
+const second = [line(4, 'b', 'request answered', 'request=r-2 server=i-1 status=200'), line(2, 'b', 'store lost', 'table=op')]
+
+async function explain (request: string): Promise<{ lines: string[], codes: number[] }> {
+  const lines: string[] = []
+  const files: Record<string, string[]> = { first, second }
+  const context = { readFile: async (path: string) => Buffer.from((files[path] ?? []).join('\n')), writeOutput: (text: string) => { lines.push(text) } }
+  const errors = await explainRequest(context as unknown as CommandContext, request, ['first', 'second'])
+  return { lines, codes: errors.map(({ code }) => code) }
+}
+
+test('a request is explained by its own lines and by what its host believed then', async () => {
+  assert.deepEqual((await explain('r-1')).lines, [first[1], first[2], first[4], first[5]])
+})
+
+test('a request without a line gives a result code', async () => {
+  assert.deepEqual(await explain('r-9'), { lines: [], codes: [606] })
+})
--- a/core/result-codes/src/describeResultCode.ts
+++ b/core/result-codes/src/describeResultCode.ts
@@ -54,6 +54,7 @@
   [ResultCode.KeyInvalid]: { meaning: 'A key is not a valid Ed25519 key.', action: 'Make a key pair with siskinbeamctl key create.' },
   [ResultCode.NotAuthorized]: { status: 401, meaning: 'The call on the peer address has no valid key.', action: 'Give the peer key or the operator key.' },
   [ResultCode.HostUnreachable]: { meaning: 'A host did not answer.', action: 'Check the host and its peer address.' },
+  [ResultCode.RequestNotLogged]: { meaning: 'No log line in the files given names the request.', action: 'Give the log files of all hosts that were up at that time.' },
   [ResultCode.TableUnavailable]: { meaning: 'The table service did not answer; a write may have taken effect.', action: 'Wait for the platform.' },
   [ResultCode.TableRateLimited]: { meaning: 'The table service refused for its rate limit; nothing was written.', action: 'Lower the rate, or raise the limit with the platform.' },
   [ResultCode.TableConditionFailed]: { meaning: 'A condition of a transaction failed; nothing was written.', action: 'Read the row and decide again.' },
--- a/core/result-codes/src/resultCode.ts
+++ b/core/result-codes/src/resultCode.ts
@@ -58,6 +58,7 @@
   KeyInvalid = 603,
   NotAuthorized = 604,
   HostUnreachable = 605,
+  RequestNotLogged = 606,
 
   TableUnavailable = 701,
   TableRateLimited = 702,
