--- a/command/siskinbeamctl/test/operatorsPage.test.ts
+++ b/command/siskinbeamctl/test/operatorsPage.test.ts
@@ -1,4 +1,4 @@
-// Guards against docs/operators.md naming settings, defaults or result codes that the code does not have,
+// Guards against docs/OPERATIONS.md naming settings, defaults or result codes that the code does not have,
 // and against an example bundle of the page that is not valid.
 import assert from 'node:assert/strict'
 import { readFileSync } from 'node:fs'
@@ -9,7 +9,7 @@
 import { nameEnvironmentVariable, type SettingDefinitions } from '@siskinbeam/settings/readSettings'
 
 const readText = (path: string): string => readFileSync(new URL(`../../../../${path}`, import.meta.url), 'utf8')
-const page = readText('docs/operators.md')
+const page = readText('docs/OPERATIONS.md')
 const readRows = (head: string): string[] => page.slice(page.indexOf(head)).split('\n\n')[0]!.trimEnd().split('\n').slice(2)
 
 test('the page lists every setting of an entry host with its variable and default', () => {
