--- a/daemon/entry-host/test/hostProcess.test.ts
+++ b/daemon/entry-host/test/hostProcess.test.ts
@@ -96,7 +96,9 @@
 test('a process that is told to stop completes what runs, refuses the rest with addresses, and exits after its settlements', { timeout: 30_000 }, async () => {
   const booking = openGuest(host.guestAddress, post('/desk/bookings', 'lorry', 'idempotency-key: leaving\r\n'))
   const reader = openGuest(host.guestAddress, get('/desk/large'))
+  const describeState = (): string => `held=${held.length} booking=${JSON.stringify(booking.received().slice(0, 300))} closed=${booking.closed()} reader=${reader.received().length} closed=${reader.closed()} exited=${host.hasExited()}`
   await waitUntil('the booking is at the server and the large answer has begun', () => held.length === 1 && reader.received().length > 0)
+    .catch((error: unknown) => assert.fail(`${String(error)}: ${describeState()}`))
   reader.socket.pause()
   host.child.kill('SIGTERM')
   await waitUntilServing()
