--- a/core/metrics/src/createMetrics.ts
+++ b/core/metrics/src/createMetrics.ts
@@ -1,8 +1,13 @@
 // Counters, gauges and latency histograms of one process, rendered as plain text in the Prometheus
 // exposition format. Histograms are hdr-histogram-js, in microseconds with three significant digits.
-import { build, type Histogram } from 'hdr-histogram-js'
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js'
+
+// The package's main module also loads its codecs and WebAssembly, 8 MB of a process that uses neither.
+const { default: Int32Histogram } = histogramModule
+type Histogram = InstanceType<typeof Int32Histogram>
 
 const highestMicroseconds = 600_000_000
+const significantDigits = 3
 
 /** Metrics of one process. Names carry their unit. */
 export interface Metrics {
@@ -27,7 +32,7 @@
   const histogramOf = (name: string): Histogram => {
     const present = histograms.get(name)
     if (present !== undefined) return present
-    const created = build({ lowestDiscernibleValue: 1, highestTrackableValue: highestMicroseconds, numberOfSignificantValueDigits: 3 })
+    const created = new Int32Histogram(1, highestMicroseconds, significantDigits)
     histograms.set(name, created)
     return created
   }
--- a/daemon/platform-host/src/dataCentre/followSource.ts
+++ b/daemon/platform-host/src/dataCentre/followSource.ts
@@ -87,7 +87,7 @@
       registrySource = reply.boot
       registryRevision = reply.servers.revision
     }
-    addHosts(duty, reply.members.filter(({ dataCentre }) => dataCentre === settings.dataCentre))
+    addHosts(duty, (reply.members ?? []).filter(({ dataCentre }) => dataCentre === settings.dataCentre))
   }
 
   const setSource = (next: KnownHost): void => {
@@ -112,7 +112,8 @@
 
   const checkReply = (reply: SyncReply, from: KnownHost): void => {
     hear(reply, from.name)
-    members.adopt(reply.members)
+    if (reply.members === undefined) members.confirm()
+    else members.adopt(reply.members)
     if (reply.ageMilliseconds >= 0) confirmedAt = Math.max(confirmedAt, now() - reply.ageMilliseconds)
     const isSettled = now() - sourceSince > settleMilliseconds
     const isOutOfDate = reply.ageMilliseconds < 0 || reply.ageMilliseconds > longestAgeMilliseconds
--- a/daemon/platform-host/src/dataCentre/keepMembers.ts
+++ b/daemon/platform-host/src/dataCentre/keepMembers.ts
@@ -1,4 +1,5 @@
 // The entry hosts of the own data centre that are alive, as far as this host hears of them.
+import { createHash } from 'node:crypto'
 import type { Member } from './peerMessages.js'
 
 export interface Members {
@@ -6,12 +7,16 @@
   hear: (member: Member) => void
   /** Replaces the list by that of the host that this host follows. */
   adopt: (members: Member[]) => void
+  /** The list of the host that this host follows is the same as before. */
+  confirm: () => void
   /** A host whose call broke off is left out until it calls again. */
   drop: (name: string) => void
   list: () => Member[]
   digest: () => string
 }
 
+/** Characters of a digest; two lists of a data centre are never confused with that many. */
+const digestLength = 16
 /** Followers call at least twice in this time. */
 const silentMilliseconds = 1_300
 
@@ -28,8 +33,9 @@
       heard.clear()
       members.forEach(hear)
     },
+    confirm: () => heard.forEach(entry => { entry.at = now() }),
     drop: name => { heard.delete(name) },
     list,
-    digest: () => list().map(({ name, ready }) => `${name}:${ready ? 1 : 0}`).sort().join()
+    digest: () => createHash('sha256').update(list().map(({ name, ready }) => `${name}:${ready ? 1 : 0}`).sort().join()).digest('base64url').slice(0, digestLength)
   }
 }
--- a/daemon/platform-host/src/dataCentre/peerMessages.ts
+++ b/daemon/platform-host/src/dataCentre/peerMessages.ts
@@ -31,7 +31,8 @@
   failingMilliseconds: number
   configuration?: Configuration
   servers?: RelayedUpdate
-  members: Member[]
+  /** Left out if the caller has the same list. */
+  members?: Member[]
 }
 
 export const syncPath = '/siskinbeam.datacentre.v1.DataCentre/Sync'
--- a/daemon/platform-host/src/dataCentre/servePeers.ts
+++ b/daemon/platform-host/src/dataCentre/servePeers.ts
@@ -47,14 +47,14 @@
       failingMilliseconds: failingSince === undefined ? 0 : host.now() - failingSince,
       ...(configuration === undefined || configuration.version <= request.configurationVersion ? {} : { configuration }),
       ...(servers.version === 0 || (isKnown && servers.revision === request.registryRevision) ? {} : { servers }),
-      members: members.list()
+      ...(members.digest() === request.membersDigest ? {} : { members: members.list() })
     }
   }
 
   const answer = (request: SyncRequest, response: ServerResponse): void => {
     const hasNews = (): boolean => {
-      const { configuration, servers } = describe(request)
-      return configuration !== undefined || servers !== undefined || members.digest() !== request.membersDigest
+      const { configuration, servers, members: changed } = describe(request)
+      return configuration !== undefined || servers !== undefined || changed !== undefined
     }
     const reply = (): void => {
       clearTimeout(timer)
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -47,7 +47,7 @@
 /** A host that was asked to watch does so for this long. */
 const watchForFollowersMilliseconds = 1_000
 /** Part of the budget that hosts use, since they count their own sends only. */
-const usedRetryShare = 0.8
+const usedRetryShare = 0.9
 
 /** Starts the host. */
 export async function startPlatformHost (options: StartPlatformHostOptions): Promise<RunningPlatformHost> {
--- a/limits/retry-share/src/retryShare.ts
+++ b/limits/retry-share/src/retryShare.ts
@@ -24,7 +24,7 @@
 }
 
 /** Part of the allowance that a purpose may use. */
-const usableShare: Record<FurtherSend, number> = { [FurtherSend.Retry]: 1, [FurtherSend.Hedge]: 0.7 }
+const usableShare: Record<FurtherSend, number> = { [FurtherSend.Retry]: 1, [FurtherSend.Hedge]: 0.8 }
 
 /** Creates the state for one service. */
 export function createRetryShare (): RetryShareState {
