Log what decided each choice of a server; give hedges and listeners a module of their own

Lines of answered and refused requests name the load that was chosen by, its age and the estimate. The four functions that bound a listener are one.

--- a/daemon/entry-host/src/startEntryHost.ts
+++ b/daemon/entry-host/src/startEntryHost.ts
@@ -1,6 +1,4 @@
 // Starts an entry host: its listeners, and the control loops around the decision modules.
-import type { AddressInfo } from 'node:net'
-import type { Server } from 'node:http'
 import { createHostListClient, HostRole, HostState, type ListedHost } from '@siskinbeam/clients/createHostListClient'
 import { createObjectClient } from '@siskinbeam/clients/createObjectClient'
 import { createTableClient } from '@siskinbeam/clients/createTableClient'
@@ -10,6 +8,7 @@
 import { createPeerClients } from '@siskinbeam/exchange/createPeerClients'
 import { servePeers } from '@siskinbeam/exchange/servePeers'
 import { checkInvariant, Invariant, setViolationHandler } from '@siskinbeam/invariants/checkInvariant'
+import { bindListener } from '@siskinbeam/listeners/bindListener'
 import { createLogger, type Logger } from '@siskinbeam/logging/createLogger'
 import { createMetrics, type Metrics } from '@siskinbeam/metrics/createMetrics'
 import { createRandom } from '@siskinbeam/random/createRandom'
@@ -17,7 +16,6 @@
 import { succeed } from '@siskinbeam/result-codes/codedError'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import type { SettingValues } from '@siskinbeam/settings/readSettings'
-import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { readTrustedKeys } from '@siskinbeam/signatures/signingKeys'
 import { exchangeNews } from './controlLoops/exchangeNews.js'
 import { keepMembership, type MembershipLoop } from './controlLoops/keepMembership.js'
@@ -128,7 +126,7 @@
       }
     }
   })
-  const guestAddress = await listen(core.listener, settings.guestAddress)
+  const guestAddress = await bindListener(core.listener, settings.guestAddress)
   const membership = keepMembership({
     place: { host: settings.host, bootId, dataCentre: settings.dataCentre, guestAddress, peerAddress: peerServer.address },
     seedPeers: settings.seedPeers,
@@ -172,7 +170,7 @@
   const operators = settings.metricsAddress === ''
     ? undefined
     : createOperatorsListener({ operatorKey: settings.operatorKey, renderMetrics: metrics.render, dump })
-  if (operators !== undefined) await listen(operators, settings.metricsAddress)
+  if (operators !== undefined) await bindListener(operators, settings.metricsAddress)
   logger.info('host started', { bootId, dataCentre: settings.dataCentre, guestAddress, peerAddress: peerServer.address, seed })
 
   const stopAll = async (): Promise<void> => {
@@ -236,17 +234,3 @@
 function wait (milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
-
-/** Binds a listener and gives the address that it got. */
-export async function listen (server: Server, address: string): Promise<string> {
-  const { host, port } = splitAddress(address)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => {
-      server.off('error', reject)
-      resolve()
-    })
-  })
-  const bound = server.address() as AddressInfo
-  return `${bound.address}:${bound.port}`
-}
--- a/daemon/entry-host/test/support/startPath.ts
+++ b/daemon/entry-host/test/support/startPath.ts
@@ -10,7 +10,7 @@
 import type { BundleInput } from '@siskinbeam/schema/bundle'
 import { createHostCore } from '../../src/createHostCore.js'
 import type { EntryHost } from '../../src/entryHost.js'
-import { listen } from '../../src/startEntryHost.js'
+import { bindListener } from '@siskinbeam/listeners/bindListener'
 
 /** A server that answers each request as the function given says. */
 export interface ScriptedServer {
@@ -89,7 +89,7 @@
     core.putInForce(bundle.value, `digest-${bundle.value.version}`)
   }
   putInForce(input)
-  const guestAddress = await listen(core.listener, '127.0.0.1:0')
+  const guestAddress = await bindListener(core.listener, '127.0.0.1:0')
   return {
     guestAddress,
     host: core.host,
--- a/daemon/platform-host/src/guestListeners.ts
+++ b/daemon/platform-host/src/guestListeners.ts
@@ -66,6 +66,7 @@
     service: '',
     body: undefined,
     sends: 0,
+    decision: {},
     cancels: new Set(),
     finished: false
   }
--- a/daemon/platform-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/platform-host/src/requestPath/dispatchRequest.ts
@@ -14,6 +14,7 @@
 import { refuse } from './refuse.js'
 import { relayAnswer } from './relayAnswer.js'
 import { SendOutcome, sendToServer, type SendResult } from './sendToServer.js'
+import { firstAnswer, sendHedge, type ServerResult } from './hedgeSend.js'
 import { createLongestWaits } from './longestWaits.js'
 import { createWorkEstimates } from './workEstimates.js'
 
@@ -25,31 +26,13 @@
   mayHaveRun: boolean
 }
 
-interface ServerResult {
-  link: ServerLink
-  result: SendResult
-}
-
-interface Hedge {
-  promise: Promise<ServerResult | undefined>
-  isSent: () => boolean
-  /** Ends the wait for a hedge that is not sent yet. */
-  stop: () => void
-}
-
 const firstChoiceRounds = 3
-const hedgeChoiceRounds = 1
 /** Answers of servers at this pace or faster tell of the work itself. */
 const usualPace = 1.2
 /** With less time than this share of the usual work left, a further send would not be answered in time. */
 const leastWorkShare = 0.5
 const refusedRetryMilliseconds = 60
 const longestRetryAfterMilliseconds = 400
-/** A hedge is sent after this share of the usual work at the earliest. */
-const hedgeAfterWorkShare = 1.2
-/** A hedge leaves this share of the usual work before the target latency. */
-const hedgeWorkShare = 1.3
-
 /** Outcomes whose time tells how good an estimate was. */
 const correctingOutcomes = new Set([SendOutcome.Answered, SendOutcome.TimedOut])
 /** Guests that come back wait for less time than before, by at least this. */
@@ -84,6 +67,15 @@
     return
   }
   const estimate = choice.estimate * host.correctionOf(exchange.service).factor
+  const { load, askedAt } = choice.server
+  exchange.decision = {
+    chosen: choice.server.link.server.id,
+    load: `${load.running}/${load.waiting}/${load.slots}`,
+    pace: load.pace,
+    loadAgeMilliseconds: Math.round(host.now() - askedAt),
+    estimateMilliseconds: Math.round(estimate),
+    tried: tried.size
+  }
   const admission = decideAdmission({
     estimate,
     elapsed: host.now() - exchange.receivedAt,
@@ -150,7 +142,13 @@
 async function sendAndHedge (dispatch: Dispatch, choice: RankedServer<AskedServer>): Promise<ServerResult> {
   const first = sendTo(dispatch, choice)
   if (!dispatch.route.idempotent || dispatch.exchange.sends >= dispatch.route.maximumAttempts) return first
-  const hedge = sendHedge(dispatch)
+  const hedge = sendHedge({
+    exchange: dispatch.exchange,
+    route: dispatch.route,
+    tried: dispatch.tried,
+    workMilliseconds: work.read(dispatch.route.name, dispatch.route.targetLatencyMilliseconds),
+    send: second => sendTo(dispatch, second)
+  })
   const winner = await firstAnswer(first, hedge)
   hedge.stop()
   // The sends that are still in progress have lost.
@@ -180,40 +178,3 @@
   }
   return { link: server.link, result }
 }
-
-/** Sends the request a second time once it is late, if a server with room is found. Resolves with undefined if not. */
-function sendHedge (dispatch: Dispatch): Hedge {
-  const { exchange, route, tried } = dispatch
-  const workMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
-  const dueAt = exchange.receivedAt + Math.max(hedgeAfterWorkShare * workMilliseconds, route.targetLatencyMilliseconds - hedgeWorkShare * workMilliseconds)
-  let stopped = false
-  let sent = false
-  let stop = (): void => { stopped = true }
-  const promise = new Promise<ServerResult | undefined>(resolve => {
-    const timer = setTimeout(() => { hedge().then(resolve, () => resolve(undefined)) }, Math.max(0, dueAt - exchange.host.now()))
-    stop = () => {
-      stopped = true
-      clearTimeout(timer)
-      resolve(undefined)
-    }
-  })
-  const hedge = async (): Promise<ServerResult | undefined> => {
-    const choice = await chooseServer({ exchange, tried, workMilliseconds, rounds: hedgeChoiceRounds })
-    const useful = choice?.hasRoom === true && choice.estimate < exchange.deadlineAt - exchange.host.now()
-    if (!useful || stopped || exchange.finished || exchange.sends >= route.maximumAttempts) return undefined
-    if (!exchange.host.retries.take(exchange.service, FurtherSend.Hedge)) return undefined
-    exchange.host.metrics.count('hedges_total')
-    sent = true
-    return sendTo(dispatch, choice)
-  }
-  return { promise, isSent: () => sent, stop: () => stop() }
-}
-
-/** The first answer of the two; if neither answers, the outcome of the first send. */
-async function firstAnswer (first: Promise<ServerResult>, hedge: Hedge): Promise<ServerResult> {
-  const isAnswer = (settled: ServerResult | undefined): settled is ServerResult => settled?.result.outcome === SendOutcome.Answered
-  const earliest = await Promise.race([first, hedge.promise.then(settled => isAnswer(settled) ? settled : first)])
-  if (isAnswer(earliest) || !hedge.isSent()) return earliest
-  const other = await hedge.promise
-  return isAnswer(other) ? other : earliest
-}
--- a/daemon/platform-host/src/requestPath/guestExchange.ts
+++ b/daemon/platform-host/src/requestPath/guestExchange.ts
@@ -1,5 +1,6 @@
 // One request of a guest on its way through the filters of the request path.
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { LogFields } from '@siskinbeam/logging/createLogger'
 import type { Route } from '@siskinbeam/route-table/configuration'
 import type { PlatformHost } from '../platformHost.js'
 
@@ -19,6 +20,8 @@
   body: Buffer | undefined
   /** Sends that reached or may have reached a server. */
   sends: number
+  /** What decided the latest choice of a server, for the log. */
+  decision: LogFields
   /** Ends the sends that are in progress and may be ended. */
   cancels: Set<() => void>
   /** Set once the guest has its answer or has left. */
--- /dev/null
+++ b/daemon/platform-host/src/requestPath/hedgeSend.ts
@@ -0,0 +1,72 @@
+// Hedges: a request that may be repeated and is late is sent to a second server, and the first answer counts.
+import type { Route } from '@siskinbeam/route-table/configuration'
+import { FurtherSend } from '@siskinbeam/retry-share/retryShare'
+import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
+import type { AskedServer } from '../servers/askServers.js'
+import type { ServerLink } from '../servers/serverLink.js'
+import { chooseServer } from './chooseServer.js'
+import type { GuestExchange } from './guestExchange.js'
+import { SendOutcome, type SendResult } from './sendToServer.js'
+
+export interface ServerResult {
+  link: ServerLink
+  result: SendResult
+}
+
+export interface Hedge {
+  /** Resolves with undefined if no hedge was sent. */
+  promise: Promise<ServerResult | undefined>
+  isSent: () => boolean
+  /** Ends the wait for a hedge that is not sent yet. */
+  stop: () => void
+}
+
+export interface SendHedgeOptions {
+  exchange: GuestExchange
+  route: Route
+  /** Servers that the request was sent to. */
+  tried: ReadonlySet<ServerLink>
+  workMilliseconds: number
+  send: (choice: RankedServer<AskedServer>) => Promise<ServerResult>
+}
+
+const hedgeChoiceRounds = 1
+/** A hedge is sent after this share of the usual work at the earliest. */
+const hedgeAfterWorkShare = 1.2
+/** A hedge leaves this share of the usual work before the target latency. */
+const hedgeWorkShare = 1.3
+
+/** Sends the request a second time once it is late, if a server with room is found and the budget allows it. */
+export function sendHedge ({ exchange, route, tried, workMilliseconds, send }: SendHedgeOptions): Hedge {
+  const dueAt = exchange.receivedAt + Math.max(hedgeAfterWorkShare * workMilliseconds, route.targetLatencyMilliseconds - hedgeWorkShare * workMilliseconds)
+  let stopped = false
+  let sent = false
+  let stop = (): void => { stopped = true }
+  const promise = new Promise<ServerResult | undefined>(resolve => {
+    const timer = setTimeout(() => { hedge().then(resolve, () => resolve(undefined)) }, Math.max(0, dueAt - exchange.host.now()))
+    stop = () => {
+      stopped = true
+      clearTimeout(timer)
+      resolve(undefined)
+    }
+  })
+  const hedge = async (): Promise<ServerResult | undefined> => {
+    const choice = await chooseServer({ exchange, tried, workMilliseconds, rounds: hedgeChoiceRounds })
+    const useful = choice?.hasRoom === true && choice.estimate < exchange.deadlineAt - exchange.host.now()
+    if (!useful || stopped || exchange.finished || exchange.sends >= route.maximumAttempts) return undefined
+    if (!exchange.host.retries.take(exchange.service, FurtherSend.Hedge)) return undefined
+    exchange.host.metrics.count('hedges_total')
+    sent = true
+    return send(choice)
+  }
+  return { promise, isSent: () => sent, stop: () => stop() }
+}
+
+/** The first answer of the two; if neither answers, the outcome of the first send. */
+export async function firstAnswer (first: Promise<ServerResult>, hedge: Hedge): Promise<ServerResult> {
+  const isAnswer = (settled: ServerResult | undefined): settled is ServerResult => settled?.result.outcome === SendOutcome.Answered
+  const earliest = await Promise.race([first, hedge.promise.then(settled => isAnswer(settled) ? settled : first)])
+  if (isAnswer(earliest) || !hedge.isSent()) return earliest
+  const other = await hedge.promise
+  return isAnswer(other) ? other : earliest
+}
--- a/daemon/platform-host/src/requestPath/refuse.ts
+++ b/daemon/platform-host/src/requestPath/refuse.ts
@@ -32,6 +32,7 @@
     outcome,
     reason,
     sends: exchange.sends,
+    ...exchange.decision,
     milliseconds: Math.round(host.now() - exchange.receivedAt),
     configuration: host.routes()?.configuration.version
   })
--- a/daemon/platform-host/src/requestPath/relayAnswer.ts
+++ b/daemon/platform-host/src/requestPath/relayAnswer.ts
@@ -27,6 +27,7 @@
     status: answer.status,
     bytes: answer.rest === undefined ? answer.body.length : undefined,
     sends: exchange.sends,
+    ...exchange.decision,
     milliseconds: Math.round(milliseconds),
     configuration: host.routes()?.configuration.version
   })
--- a/daemon/platform-host/src/servers/askServers.ts
+++ b/daemon/platform-host/src/servers/askServers.ts
@@ -14,6 +14,8 @@
   load: ServerLoad
   /** Whether the server says that it takes requests. */
   healthy: boolean
+  /** When the answer came, on the monotonic clock. */
+  askedAt: number
   /** Sends of this host that were in flight when the server answered. */
   inFlightWhenAsked: number
 }
@@ -86,5 +88,5 @@
   }
   noteReachable(link)
   const load = head.load ?? { running: link.inFlight, waiting: 0, slots: link.server.slots, pace: 1 }
-  return { link, connection, load, healthy: status === 200, inFlightWhenAsked: link.inFlight }
+  return { link, connection, load, healthy: status === 200, askedAt: options.now(), inFlightWhenAsked: link.inFlight }
 }
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http'
 import { randomUUID } from 'node:crypto'
 import type { Logger } from '@siskinbeam/logging/createLogger'
+import { bindListener } from '@siskinbeam/listeners/bindListener'
 import { createMetrics } from '@siskinbeam/metrics/createMetrics'
 import { createStoreClient } from '@siskinbeam/platform-adapter/createStoreClient'
 import { maximumAddresses } from '@siskinbeam/platform-adapter/guestDialect'
@@ -11,7 +12,6 @@
 import { createRetryShare, noteFirstSend, takeFurtherSend } from '@siskinbeam/retry-share/retryShare'
 import { createCorrection } from '@siskinbeam/server-ranking/estimateCorrection'
 import { createFullness } from '@siskinbeam/server-ranking/fullnessFactor'
-import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { createDutyState } from '@siskinbeam/watch-duty/watchDuty'
 import { followSource } from './dataCentre/followSource.js'
 import { createMembers } from './dataCentre/keepMembers.js'
@@ -139,7 +139,7 @@
     [peers.server, settings.peerAddress],
     ...(settings.metricsAddress === '' ? [] : [[createOperatorsListener({ operatorKey: undefined, renderMetrics: metrics.render, dump }), settings.metricsAddress] as [Server, string]])
   ]
-  await Promise.all(listeners.map(([server, address]) => listen(server, address)))
+  await Promise.all(listeners.map(([server, address]) => bindListener(server, address)))
   logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress, metricsAddress: settings.metricsAddress })
 
   const waitForGuests = async (until: number): Promise<void> => {
@@ -196,11 +196,3 @@
 function wait (milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
-
-function listen (server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address)
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => resolve())
-  })
-}
--- a/daemon/platform-host/test/operators.test.ts
+++ b/daemon/platform-host/test/operators.test.ts
@@ -22,6 +22,7 @@
   const dump = JSON.parse((await ask(metricsAddress, '/dump')).body) as { servers: unknown[], members: unknown[] }
   assert.deepEqual([dump.servers.length, dump.members.length], [1, 1])
   assert.ok(platform.logs.some(line => line.includes('request=r-found') && line.includes('server=i-')))
+  assert.match(platform.logs.find(line => line.includes('request=r-found')) ?? '', /load=0\/0\/3 pace=1 loadAgeMilliseconds=\d+ estimateMilliseconds=\d+ .*configuration=1/)
   assert.ok(platform.logs.some(line => line.includes('request=r-refused') && line.includes('code=112')))
   await platform.stop()
 })
--- a/stand-ins/platform/src/serveHttp.ts
+++ b/stand-ins/platform/src/serveHttp.ts
@@ -1,7 +1,6 @@
 // The HTTP listener that the stand-ins share: whole request bodies in, JSON or bytes out.
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-import { splitAddress } from '@siskinbeam/settings/splitAddress'
+import { bindListener } from '@siskinbeam/listeners/bindListener'
 
 /** A reply; a body of bytes is sent as it is, anything else as JSON. */
 export interface Reply {
@@ -42,13 +41,9 @@
     answerRequest(request, response, maximumBodyBytes, handle).catch(() => request.socket.destroy())
   })
   server.keepAliveTimeout = idleConnectionMilliseconds
-  const { host, port } = splitAddress(address)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
+  const bound = await bindListener(server, address)
   return {
-    address: `${host}:${(server.address() as AddressInfo).port}`,
+    address: bound,
     close: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
--- a/stand-ins/server/src/serveServer.ts
+++ b/stand-ins/server/src/serveServer.ts
@@ -2,12 +2,12 @@
 // drain, shed, crash, freeze, slow down, cut answers off or let its connections go silent.
 import { randomUUID } from 'node:crypto'
 import { appendFileSync } from 'node:fs'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
+import { bindListener } from '@siskinbeam/listeners/bindListener'
 import { createRandom, drawLognormal } from '@siskinbeam/random/createRandom'
 import type { SettingValues } from '@siskinbeam/settings/readSettings'
-import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { createSlots, type Job } from './runSlots.js'
 import { changeFaults, noFaults, type ServerFaults } from './serverFaults.js'
 import type { serverSettings } from './serverSettings.js'
@@ -223,8 +223,8 @@
     })
   })
 
-  const address = await listen(service, options.address)
-  const controlAddress = await listen(control, options.controlAddress)
+  const address = await bindListener(service, options.address)
+  const controlAddress = await bindListener(control, options.controlAddress)
   return {
     boot,
     address,
@@ -239,13 +239,3 @@
     }
   }
 }
-
-async function listen (server: Server, address: string): Promise<string> {
-  const { host, port } = splitAddress(address)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
-  const bound = server.address()
-  return typeof bound === 'object' && bound !== null ? `${bound.address}:${bound.port}` : address
-}
