Start the processes of a host once all its parts exist

Cause: at each start, the two processes that watch the store failed once ('Cannot access follower before initialization') and were restarted 50 ms later, so a host knew no configuration for that long. The new test failed before.

--- a/daemon/platform-host/src/dataCentre/followSource.ts
+++ b/daemon/platform-host/src/dataCentre/followSource.ts
@@ -6,7 +6,7 @@
 import { Table } from '@siskinbeam/platform-adapter/wire'
 import { fromPromise, sleep, take, type ProcessBody } from '@siskinbeam/processes/channels'
 import { sample } from '@siskinbeam/random/createRandom'
-import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import { superviseProcess, type SupervisedProcess } from '@siskinbeam/processes/superviseProcess'
 import { addHosts, chooseSource, noteSourceFailed, noteSourceWorks, type DutyState, type KnownHost } from '@siskinbeam/watch-duty/watchDuty'
 import type { PlatformHost } from '../platformHost.js'
 import type { Members } from './keepMembers.js'
@@ -35,6 +35,7 @@
   announce: () => Promise<void>
   /** Takes note of a host that called. */
   meet: (caller: Member) => void
+  start: () => void
   stop: () => void
 }
 
@@ -53,7 +54,7 @@
 const lonelyMilliseconds = 1_500
 const askedWhenLonely = 2
 
-/** Starts following. */
+/** Creates the follower. */
 export function followSource ({ host, duty, own, view, members, store, watch, followedAt }: FollowSourceOptions): SourceFollower {
   const { now, logger, settings } = host
   const senders = new Map<string, HttpSender>()
@@ -188,11 +189,14 @@
     }
   }
 
-  const processes = [
-    superviseProcess({ name: 'join data centre', logger, body: runJoin }),
-    superviseProcess({ name: 'follow source', logger, body: runFollow })
-  ]
+  let processes: SupervisedProcess[] = []
   return {
+    start: () => {
+      processes = [
+        superviseProcess({ name: 'join data centre', logger, body: runJoin }),
+        superviseProcess({ name: 'follow source', logger, body: runFollow })
+      ]
+    },
     isOwnSource: () => source.name === settings.host,
     source: () => source.name,
     confirmedAt: () => confirmedAt,
--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -8,7 +8,7 @@
 import { readServerRow } from '@siskinbeam/platform-adapter/readServerEntry'
 import { configurationKey, Table } from '@siskinbeam/platform-adapter/wire'
 import { fromPromise, sleep, take, type ProcessBody } from '@siskinbeam/processes/channels'
-import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import { superviseProcess, type SupervisedProcess } from '@siskinbeam/processes/superviseProcess'
 import { noteStoreReturn } from '@siskinbeam/server-registry/serverRegistry'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import type { PlatformHost } from '../platformHost.js'
@@ -19,6 +19,7 @@
   confirmedAt: () => number
   /** Since when calls have failed, undefined if the latest one succeeded. */
   failingSince: () => number | undefined
+  start: () => void
   stop: () => void
 }
 
@@ -53,7 +54,7 @@
 const outageMilliseconds = 1_000
 const pathCheckMilliseconds = 400
 
-/** Starts watching. */
+/** Creates the watch. */
 export function watchStore ({ host, view, store, isNeeded, onLost }: WatchStoreOptions): StoreWatch {
   const { now, logger } = host
   const watches: TableWatch[] = [
@@ -152,12 +153,15 @@
     }
   }
 
-  const processes = [
-    ...watches.map(watch => superviseProcess({ name: `watch ${watch.table}`, logger, body: () => runWatch(watch) })),
-    superviseProcess({ name: 'check path', logger, body: checkPath }),
-    superviseProcess({ name: 'release held', logger, body: releaseHeld })
-  ]
+  let processes: SupervisedProcess[] = []
   return {
+    start: () => {
+      processes = [
+        ...watches.map(watch => superviseProcess({ name: `watch ${watch.table}`, logger, body: () => runWatch(watch) })),
+        superviseProcess({ name: 'check path', logger, body: checkPath }),
+        superviseProcess({ name: 'release held', logger, body: releaseHeld })
+      ]
+    },
     confirmedAt: () => Math.min(...watches.map(({ confirmedAt }) => confirmedAt)),
     failingSince: () => {
       const times = [...watches.map(({ failingSince }) => failingSince), pathFailingSince].filter(time => time !== undefined)
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -139,6 +139,8 @@
     [peers.server, settings.peerAddress],
     ...(settings.metricsAddress === '' ? [] : [[createOperatorsListener({ operatorKey: undefined, renderMetrics: metrics.render, dump }), settings.metricsAddress] as [Server, string]])
   ]
+  watch.start()
+  follower.start()
   await Promise.all(listeners.map(([server, address]) => bindListener(server, address)))
   logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress, metricsAddress: settings.metricsAddress })
 
--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -118,6 +118,10 @@
   await waitUntil('both follow host-0', () => sources().every(source => source === 'host-0'))
 }))
 
+test('no process of a host fails at its start', () => withHosts(2, 1, async platform => {
+  assert.deepEqual(platform.logs.filter(line => line.includes('process failed')), [])
+}))
+
 test('few calls reach the store while nothing changes, whatever the number of hosts', () => withHosts(6, 1, async platform => {
   await pause(1_500)
   const before = [...platform.store.calls.values()].reduce((sum, count) => sum + count, 0)
