Refuse nobody while a server has room; keep what a host learnt of routes with the host

Worse, a route whose estimate is beyond its target was refused for ever, since only answers correct it. Overload is now told by the share of choices that find nearly full servers only. The estimates lived in a module and were shared by all hosts of a process.

--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -1,4 +1,5 @@
 // What the parts of an entry host share.
+import type { PressureState } from '@siskinbeam/admission/overloadPressure'
 import type { RouteTable } from '@siskinbeam/route-table/createRouteTable'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
@@ -6,6 +7,8 @@
 import type { FurtherSend } from '@siskinbeam/retry-share/retryShare'
 import type { CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import type { FullnessState } from '@siskinbeam/server-ranking/fullnessFactor'
+import type { LongestWaits } from './requestPath/longestWaits.js'
+import type { WorkEstimates } from './requestPath/workEstimates.js'
 import type { ServerLinks } from './servers/serverLinks.js'
 
 /** Counters and latencies of this process. */
@@ -26,10 +29,14 @@
   links: ServerLinks
   leaving: () => boolean
   retries: ServiceRetries
+  work: WorkEstimates
+  longestWaits: LongestWaits
   /** How much nearly full servers of a service slow down. */
   fullnessOf: (service: string) => FullnessState
   /** By how much answers of a service take longer than estimated. */
   correctionOf: (service: string) => CorrectionState
+  /** Whether a service is short of room. */
+  pressureOf: (service: string) => PressureState
 }
 
 /** The retry budgets of all services. */
--- a/daemon/platform-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/platform-host/src/requestPath/dispatchRequest.ts
@@ -1,6 +1,7 @@
 // Filter: sends a request to a server, and to another one where that is safe, until there is an answer to
 // pass on or a reason to refuse. What follows a send is looked up by its outcome.
 import { decideAdmission, Importance } from '@siskinbeam/admission/decideAdmission'
+import { isOverloaded, noteChoice } from '@siskinbeam/admission/overloadPressure'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { FurtherSend } from '@siskinbeam/retry-share/retryShare'
 import { noteEstimate } from '@siskinbeam/server-ranking/estimateCorrection'
@@ -15,8 +16,6 @@
 import { relayAnswer } from './relayAnswer.js'
 import { SendOutcome, sendToServer, type SendResult } from './sendToServer.js'
 import { firstAnswer, sendHedge, type ServerResult } from './hedgeSend.js'
-import { createLongestWaits } from './longestWaits.js'
-import { createWorkEstimates } from './workEstimates.js'
 
 interface Dispatch {
   exchange: GuestExchange
@@ -38,9 +37,6 @@
 /** Guests that come back wait for less time than before, by at least this. */
 const returnMarginMilliseconds = 50
 
-const work = createWorkEstimates()
-const longestWaits = createLongestWaits()
-
 export const dispatchRequest: Filter = exchange => {
   const { route } = exchange
   if (route === undefined) return
@@ -54,7 +50,7 @@
 async function sendOnce (dispatch: Dispatch): Promise<void> {
   const { exchange, route, tried } = dispatch
   const { host } = exchange
-  const workMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
+  const workMilliseconds = host.work.read(route.name, route.targetLatencyMilliseconds)
   const choice = await chooseServer({ exchange, tried, workMilliseconds, rounds: firstChoiceRounds })
   if (exchange.finished) return
   const left = exchange.deadlineAt - host.now()
@@ -66,6 +62,9 @@
     refuseUnsent(dispatch, ResultCode.DeadlineExceededBeforeSend, `${Math.round(left)} ms are left`, refusedRetryMilliseconds)
     return
   }
+  const pressure = host.pressureOf(exchange.service)
+  noteChoice(pressure, wouldBeNearlyFull(choice.server.load.running + choice.server.load.waiting, choice.server.load.slots))
+  const hasRoom = choice.hasRoom && !isOverloaded(pressure)
   const estimate = choice.estimate * host.correctionOf(exchange.service).factor
   const { load, askedAt } = choice.server
   exchange.decision = {
@@ -81,7 +80,8 @@
     elapsed: host.now() - exchange.receivedAt,
     targetLatencyMilliseconds: route.targetLatencyMilliseconds,
     left,
-    importance: readImportance(dispatch)
+    importance: readImportance(dispatch),
+    hasRoom
   })
   if (!admission.admitted) {
     refuseUnsent(dispatch, ResultCode.Overloaded, `the best server would take ${Math.round(estimate)} of ${Math.round(left)} ms`, admission.retryAfterMilliseconds)
@@ -135,7 +135,7 @@
 
 function maySendElsewhere ({ exchange, route }: Dispatch): boolean {
   return !exchange.finished && exchange.sends < route.maximumAttempts &&
-    exchange.deadlineAt - exchange.host.now() > leastWorkShare * work.read(route.name, route.targetLatencyMilliseconds) &&
+    exchange.deadlineAt - exchange.host.now() > leastWorkShare * exchange.host.work.read(route.name, route.targetLatencyMilliseconds) &&
     exchange.host.retries.take(exchange.service, FurtherSend.Retry)
 }
 
@@ -146,7 +146,7 @@
     exchange: dispatch.exchange,
     route: dispatch.route,
     tried: dispatch.tried,
-    workMilliseconds: work.read(dispatch.route.name, dispatch.route.targetLatencyMilliseconds),
+    workMilliseconds: dispatch.exchange.host.work.read(dispatch.route.name, dispatch.route.targetLatencyMilliseconds),
     send: second => sendTo(dispatch, second)
   })
   const winner = await firstAnswer(first, hedge)
@@ -158,7 +158,7 @@
 
 function readImportance ({ exchange, route }: Dispatch): Importance {
   const { host, service, waitMilliseconds } = exchange
-  if (waitMilliseconds < longestWaits.note(route.name, waitMilliseconds) - returnMarginMilliseconds) return Importance.ComesBack
+  if (waitMilliseconds < host.longestWaits.note(route.name, waitMilliseconds) - returnMarginMilliseconds) return Importance.ComesBack
   return host.routes()?.isLessImportant(route, service) === true ? Importance.Less : Importance.Most
 }
 
@@ -166,12 +166,12 @@
   tried.add(server.link)
   const sentAt = exchange.host.now()
   const result = await sendToServer(exchange, server)
-  const usualMilliseconds = work.read(route.name, route.targetLatencyMilliseconds)
+  const usualMilliseconds = exchange.host.work.read(route.name, route.targetLatencyMilliseconds)
   const milliseconds = exchange.host.now() - sentAt
   if (correctingOutcomes.has(result.outcome)) noteEstimate(exchange.host.correctionOf(exchange.service), estimate, milliseconds)
   if (result.outcome === SendOutcome.Answered) {
     const { load } = server
-    work.note(route.name, route.targetLatencyMilliseconds, milliseconds)
+    exchange.host.work.note(route.name, route.targetLatencyMilliseconds, milliseconds)
     if (load.pace <= usualPace && load.waiting === 0) {
       noteAnswerTime(exchange.host.fullnessOf(exchange.service), wouldBeNearlyFull(load.running, load.slots), milliseconds / usualMilliseconds)
     }
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http'
 import { randomUUID } from 'node:crypto'
 import type { Logger } from '@siskinbeam/logging/createLogger'
+import { createPressure } from '@siskinbeam/admission/overloadPressure'
 import { bindListener } from '@siskinbeam/listeners/bindListener'
 import { createMetrics } from '@siskinbeam/metrics/createMetrics'
 import { createStoreClient } from '@siskinbeam/platform-adapter/createStoreClient'
@@ -22,6 +23,8 @@
 import { createAddressListener, createGuestListener, createReadinessListener } from './guestListeners.js'
 import { createOperatorsListener } from '@siskinbeam/metrics/createOperatorsListener'
 import type { PlatformHost } from './platformHost.js'
+import { createLongestWaits } from './requestPath/longestWaits.js'
+import { createWorkEstimates } from './requestPath/workEstimates.js'
 import { createServerLinks } from './servers/serverLinks.js'
 
 export interface StartPlatformHostOptions {
@@ -72,8 +75,11 @@
     routes: () => view.routes(),
     links,
     leaving: () => leaving,
+    work: createWorkEstimates(),
+    longestWaits: createLongestWaits(),
     fullnessOf: keepByName(createFullness),
     correctionOf: keepByName(createCorrection),
+    pressureOf: keepByName(createPressure),
     retries: {
       noteFirstSend: service => noteFirstSend(shareOf(service), now()),
       take: (service, purpose) => takeFurtherSend(shareOf(service), {
--- a/daemon/platform-host/test/requestPath.test.ts
+++ b/daemon/platform-host/test/requestPath.test.ts
@@ -201,3 +201,17 @@
     assert.equal(countSeen(servers), 2)
   })
 })
+
+// A host that had seen slow answers used to refuse although a server had a free slot.
+test('a request is not refused for slow answers of the past while a server has a free slot', () => withServers([answerWell], async (platform, servers, address) => {
+  const [server] = servers as [ScriptedServer]
+  platform.store.put('op', 'config', describeConfiguration(2, { targetLatencyS: 0.1 }))
+  await waitUntil('the target is in force', () => platform.logs.some(line => line.includes('configuration=2')))
+  server.load = '0,0,10,100'
+  server.script = (request, response) => { setTimeout(() => answerWell(request, response), 150) }
+  for (let index = 0; index < 25; index += 1) await ask(address, '/bookings/7', { method: 'POST', id: `slow-${index}` })
+  server.script = answerWell
+  for (let index = 0; index < 30; index += 1) await ask(address, '/bookings/7', { method: 'POST', id: `fast-${index}` })
+  server.load = '8,0,10,100'
+  assert.equal((await ask(address, '/bookings/7', { method: 'POST', id: 'last' })).status, 200)
+}))
--- a/limits/admission/src/decideAdmission.ts
+++ b/limits/admission/src/decideAdmission.ts
@@ -2,7 +2,8 @@
 // that would serve others in time, so a request that can't be answered within its target latency is
 // refused at once, and its guest told when to come back. More important requests are given more time. A
 // guest that comes back after a refusal is late already, so it is sent while servers are nearly idle and
-// does not take the place of one that can be answered in time.
+// does not take the place of one that can be answered in time. While there is room nobody is refused: an
+// estimate that is too long would otherwise never be corrected.
 
 export enum Importance {
   /** Other requests of the service are more important. */
@@ -22,6 +23,8 @@
   /** Milliseconds until the final answer is due. */
   left: number
   importance: Importance
+  /** Whether a server has a free slot and the service is not short of them. */
+  hasRoom: boolean
 }
 
 export interface AdmissionAnswer {
@@ -40,11 +43,11 @@
 const longestRetryAfterMilliseconds = 700
 
 /** Decides on one request. */
-export function decideAdmission ({ estimate, elapsed, targetLatencyMilliseconds, left, importance }: AdmissionQuestion): AdmissionAnswer {
+export function decideAdmission ({ estimate, elapsed, targetLatencyMilliseconds, left, importance, hasRoom }: AdmissionQuestion): AdmissionAnswer {
   const limit = Math.min(left, targetShares[importance] * targetLatencyMilliseconds - elapsed)
   const excess = estimate - limit
   return {
-    admitted: excess <= 0,
+    admitted: hasRoom || excess <= 0,
     retryAfterMilliseconds: Math.min(longestRetryAfterMilliseconds, shortestRetryAfterMilliseconds + Math.max(0, excess))
   }
 }
