--- a/bench/bench/src/cluster/spawnProcess.ts
+++ b/bench/bench/src/cluster/spawnProcess.ts
@@ -1,7 +1,7 @@
 // Starts one process of a run and waits until it says that it is ready. Processes are ended by their
 // id, and none outlives the run.
 import { spawn, type ChildProcess } from 'node:child_process'
-import { openSync, closeSync } from 'node:fs'
+import { openSync, closeSync, readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 
 const readyMilliseconds = 20_000
@@ -50,7 +50,7 @@
     const timer = setTimeout(() => reject(new Error(`${options.name} is not ready after ${readyMilliseconds} ms`)), readyMilliseconds)
     child.on('exit', code => {
       clearTimeout(timer)
-      reject(new Error(`${options.name} exited with ${code} before it was ready`))
+      reject(new Error(`${options.name} exited with ${code} before it was ready: ${readLastLine(options.logFile)}`))
     })
     child.stdout?.on('data', (chunk: Buffer) => {
       if (!chunk.toString().includes('ready')) return
@@ -75,3 +75,7 @@
     }
   }
 }
+
+function readLastLine (path: string): string {
+  return readFileSync(path, 'utf8').trimEnd().split('\n').at(-1) ?? ''
+}
--- a/bench/bench/src/cluster/startCluster.ts
+++ b/bench/bench/src/cluster/startCluster.ts
@@ -9,6 +9,7 @@
 import { callControl } from './callControl.js'
 import { pickNetwork, planCluster, planEntryHost, type ClusterPlan, type PlannedEntryHost, type PlannedServer } from './planCluster.js'
 import { createOperators, type Operators } from './rollOutBundle.js'
+import { shareInProgress } from './shareInProgress.js'
 import { spawnProcess, type SpawnedProcess } from './spawnProcess.js'
 
 /** A server process of a run. `process` changes with a restart. */
@@ -155,9 +156,9 @@
     runLog,
     policy,
     disturbedAddresses: new Set(),
-    restartServer: async server => {
+    restartServer: shareInProgress(async server => {
       if (!server.process.running()) server.process = await startServer(server.planned)
-    },
+    }),
     restartDeadServers: async () => { await Promise.all(servers.map(server => cluster.restartServer(server))) },
     listServer: async ({ planned: { name, address, dataCentre } }, state) => { await register([{ name, role: 'server', address, dataCentre, state }]) },
     startEntryHost: async position => {
