Send an idempotent request again on a new connection if a kept one broke, also to the only server

Its retry was granted, but a server that had the request was excluded, and there was no other, so the guest got 502 while the server was well. Change: a server whose kept connection broke may have the request on a new connection, after all others.

--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -73,8 +73,9 @@
     if (open.written && exchange.route?.idempotent === false && exchange.key === undefined) return failRequest(dispatch, refusal)
     tryAgain(dispatch, RetryCause.NotStarted, refusal)
   },
-  [AttemptEnd.Broken]: (dispatch, open, { reason }) => {
+  [AttemptEnd.Broken]: (dispatch, open, { reason, reused }) => {
     const { host, service } = dispatch
+    if (reused) dispatch.brokenReuse.add(open.server.place.name)
     endFailed(dispatch, open)
     // Guests resend what failed, so hosts hear of a dead server before the guest does.
     checkServerDeath(host, service, open).then(() => tryAgain(dispatch, RetryCause.Failed, {
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -44,14 +44,15 @@
   const { host, exchange, service } = dispatch
   if (exchange.finished || dispatch.answered) return
   decideIsolation(dispatch, serverName => {
-    const name = serverName ?? chooseServer({
+    const choose = (excluded: string[]): string | undefined => chooseServer({
       state: service.choice,
       policy: service.rule.policy,
       now: host.now(),
       random: host.random,
       readWeight: server => readServerWeight(service.health, server, host.now()),
-      excluded: dispatch.tried
+      excluded
     })
+    const name = serverName ?? choose(dispatch.tried) ?? choose(dispatch.tried.filter(tried => !dispatch.brokenReuse.has(tried)))
     const server = name === undefined ? undefined : service.servers.get(name)
     if (server !== undefined) return sendTo(dispatch, server, isHedge)
     if (isHedge) returnToken(service.retryBudget)
@@ -65,6 +66,8 @@
 function sendTo (dispatch: Dispatch, server: ServerRuntime, isHedge: boolean): void {
   const { host, exchange, service } = dispatch
   const { name } = server.place
+  // Other kept connections of the server may be broken as well.
+  const newConnection = dispatch.isolated || dispatch.brokenReuse.delete(name)
   dispatch.tried.push(name)
   exchange.sends += 1
   feedChoice(host, service, { kind: ChoiceEventKind.Sent, server: name })
@@ -82,7 +85,7 @@
   open.attempt = sendAttempt({
     exchange,
     server,
-    newConnection: dispatch.isolated,
+    newConnection,
     headers: makeServerHeaders(exchange, startedAt, host.epochNow(), retried),
     maySend: () => maySend(dispatch, server),
     onProgress: connectionId => noteConnection(ConnectionEventKind.Progressed, connectionId),
--- a/daemon/entry-host/src/requestPath/dispatchState.ts
+++ b/daemon/entry-host/src/requestPath/dispatchState.ts
@@ -24,6 +24,8 @@
   readonly service: ServiceRuntime
   /** Names of servers that had this request. */
   readonly tried: string[]
+  /** Servers whose kept connection broke under this request, which says nothing of the server; they may have it on a new one. */
+  readonly brokenReuse: Set<string>
   readonly open: Set<OpenAttempt>
   hedges: number
   /** An answer is being relayed. */
@@ -42,6 +44,7 @@
     exchange,
     service,
     tried: [],
+    brokenReuse: new Set(),
     open: new Set(),
     hedges: 0,
     answered: false,
--- a/daemon/entry-host/src/requestPath/sendAttempt.ts
+++ b/daemon/entry-host/src/requestPath/sendAttempt.ts
@@ -12,7 +12,7 @@
   Answered = 'answered',
   /** The server refused before it started the request, or no byte reached it. */
   NotStarted = 'not-started',
-  /** The connection broke after bytes were written. */
+  /** The connection broke after bytes were written. `reused`: it had carried an earlier request. */
   Broken = 'broken',
   /** The answer is not HTTP, or belongs to another request. */
   Malformed = 'malformed'
@@ -21,7 +21,7 @@
 export type AttemptOutcome =
   | { kind: AttemptEnd.Answered, answer: IncomingMessage }
   | { kind: AttemptEnd.NotStarted, reason: string, answer?: IncomingMessage }
-  | { kind: AttemptEnd.Broken, reason: string }
+  | { kind: AttemptEnd.Broken, reason: string, reused: boolean }
   | { kind: AttemptEnd.Malformed, reason: string }
 
 export interface SendAttemptOptions {
@@ -134,9 +134,11 @@
     const reason = error.code ?? error.message
     if (!written) settle({ kind: AttemptEnd.NotStarted, reason })
     else if (reason.startsWith('HPE_')) settle({ kind: AttemptEnd.Malformed, reason })
-    else settle({ kind: AttemptEnd.Broken, reason })
+    else settle({ kind: AttemptEnd.Broken, reason, reused: outgoing.reusedSocket })
   })
-  outgoing.on('close', () => settle({ kind: written ? AttemptEnd.Broken : AttemptEnd.NotStarted, reason: 'the connection closed' }))
+  outgoing.on('close', () => settle(written
+    ? { kind: AttemptEnd.Broken, reason: 'the connection closed', reused: outgoing.reusedSocket }
+    : { kind: AttemptEnd.NotStarted, reason: 'the connection closed' }))
   return { cancel }
 }
 
--- a/daemon/entry-host/test/serverAnswers.test.ts
+++ b/daemon/entry-host/test/serverAnswers.test.ts
@@ -182,3 +182,21 @@
     assert.notEqual(sockets[1], sockets[0])
   })
 })
+
+test('an idempotent request that meets the reset of a kept connection is sent again on a new one, also to the only server', async () => {
+  const requests = new Map<Socket, number>()
+  const server = await startScriptedServer((socket, text) => {
+    if (text.includes('/.load')) return socket.write(answerText('load'))
+    const count = (requests.get(socket) ?? 0) + 1
+    requests.set(socket, count)
+    if (count === 1) socket.write(answerText('alive'))
+    else socket.resetAndDestroy()
+  })
+  const path = await startPath(makeBundle([server.address], service => { service.hedging = { enabled: false } }))
+  try {
+    await inBatches([1, 2, 3], () => checkServes(path, 'alive'))
+    assert.ok([...requests.values()].some(count => count > 1), 'no kept connection was used')
+  } finally {
+    await Promise.all([path.stop(), server.stop()])
+  }
+})
