Add a fault soak of the real programs on the users' platform

Two findings in its first runs were faults of the soak: a host that two faults stopped was started twice, and a kill during a stop counted as a stop. Its process also hung at its exit: Node 20 never closes the handle of a socket that is reset after its end was written.

--- /dev/null
+++ b/bench/soak/src/childProcess.ts
@@ -0,0 +1,41 @@
+// Processes that the soak starts. They are ended by their ids, and none outlives the soak.
+import { spawn, type ChildProcess } from 'node:child_process'
+import { closeSync, openSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+
+export interface StartChildOptions {
+  /** Module specifier of the program. */
+  program: string
+  arguments: string[]
+  environment: Record<string, string>
+  /** File that receives the output. */
+  logFile: string
+}
+
+export interface RunningChild {
+  pid: number
+  exited: Promise<void>
+  isRunning: () => boolean
+  signal: (signal: NodeJS.Signals) => void
+}
+
+const children = new Set<ChildProcess>()
+process.on('exit', () => children.forEach(child => child.kill('SIGKILL')))
+
+/** Starts a program. */
+export function startChild (options: StartChildOptions): RunningChild {
+  const log = openSync(options.logFile, 'a')
+  const child = spawn(process.execPath, [fileURLToPath(import.meta.resolve(options.program)), ...options.arguments], {
+    stdio: ['ignore', log, log], env: { PATH: process.env.PATH, ...options.environment }
+  })
+  closeSync(log)
+  children.add(child)
+  const exited = new Promise<void>(resolve => {
+    child.once('exit', () => {
+      children.delete(child)
+      resolve()
+    })
+  })
+  const isRunning = (): boolean => children.has(child)
+  return { pid: child.pid ?? -1, exited, isRunning, signal: signal => { if (isRunning()) child.kill(signal) } }
+}
--- /dev/null
+++ b/bench/soak/src/startFleet.ts
@@ -0,0 +1,170 @@
+// The system of a soak: the stand-in of the store, servers and entry hosts as processes, and proxies on
+// the links between them.
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { join } from 'node:path'
+import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
+import type { Disturbance } from './checkPromises.js'
+import { startChild, type RunningChild } from './childProcess.js'
+import { startFaultyProxy, type FaultyProxy } from './faultyProxy.js'
+
+export interface SoakHost {
+  name: string
+  guestAddress: string
+  addressListAddress: string
+  readinessAddress: string
+  metricsAddress: string
+  storeLink: FaultyProxy
+  child: RunningChild
+  disturbances: Disturbance[]
+  /** The process is being ended and will be started again. */
+  restarting: boolean
+  start: () => void
+}
+
+export interface SoakServer {
+  id: string
+  link: FaultyProxy
+  child: RunningChild
+  /** When the store acknowledged that it drains or is gone; epoch milliseconds. */
+  leftAt: number | undefined
+}
+
+export interface Fleet {
+  /** Where logs and run files are. */
+  directory: string
+  store: RowStore
+  hosts: SoakHost[]
+  servers: SoakServer[]
+  configurationVersion: number
+  startServer: () => Promise<SoakServer>
+  /** Takes a server out of the store and ends it after the time in which it still serves. */
+  retireServer: (server: SoakServer) => Promise<void>
+  putConfiguration: () => void
+  stop: () => Promise<void>
+}
+
+export interface StartFleetOptions {
+  directory: string
+  hosts: number
+  servers: number
+}
+
+export const guestHost = 'soak.example'
+export const routeTimeoutMilliseconds = 1_500
+export const drainMilliseconds = 2_000
+const drainMarginMilliseconds = 2_500
+const dataCentres = ['north', 'south']
+const service = 'desk'
+const versionStep = 3
+
+/** Starts the store, the servers and the hosts. */
+export async function startFleet ({ directory, hosts: hostCount, servers: serverCount }: StartFleetOptions): Promise<Fleet> {
+  mkdirSync(directory, { recursive: true })
+  const store = await serveRowStore()
+  const hosts: SoakHost[] = []
+  const servers: SoakServer[] = []
+  let started = 0
+
+  const putServer = (server: SoakServer, state: string): void => store.put('servers', server.id, {
+    service, address: server.link.address, zone: dataCentres[started % dataCentres.length], version: 'v1', slots: 4, state, warmupLeftS: 0, sequence: started, born: Date.now()
+  })
+
+  const startServer = async (): Promise<SoakServer> => {
+    started += 1
+    const id = `i-${started}`
+    const port = await findFreePort()
+    const child = startChild({
+      program: '@siskinbeam/stand-in-platform-server/runPlatformServer',
+      arguments: ['--id', id, '--port', String(port), '--run-file', join(directory, `runs-${id}.jsonl`)],
+      environment: {},
+      logFile: join(directory, `server-${id}.log`)
+    })
+    const server: SoakServer = { id, link: await startFaultyProxy(`127.0.0.1:${port}`), child, leftAt: undefined }
+    servers.push(server)
+    putServer(server, 'ready')
+    return server
+  }
+
+  const retireServer = async (server: SoakServer): Promise<void> => {
+    servers.splice(servers.indexOf(server), 1)
+    putServer(server, 'draining')
+    server.leftAt = Date.now()
+    await pause(drainMilliseconds + drainMarginMilliseconds)
+    store.remove('servers', server.id)
+    server.child.signal('SIGKILL')
+    server.link.close()
+  }
+
+  const fleet: Fleet = {
+    directory,
+    store,
+    hosts,
+    servers,
+    configurationVersion: 0,
+    startServer,
+    retireServer,
+    putConfiguration: () => {
+      fleet.configurationVersion += versionStep
+      store.put('op', 'config', describeConfiguration(fleet.configurationVersion))
+    },
+    stop: async () => {
+      const children = [...hosts, ...servers].map(({ child }) => child)
+      children.forEach(child => child.signal('SIGKILL'))
+      await Promise.all(children.map(({ exited }) => exited))
+      hosts.forEach(({ storeLink }) => storeLink.close())
+      servers.forEach(({ link }) => link.close())
+      await store.close()
+    }
+  }
+
+  fleet.putConfiguration()
+  await Promise.all(Array.from({ length: serverCount }, startServer))
+  const ports = await Promise.all(Array.from({ length: hostCount }, () => Promise.all(Array.from({ length: 5 }, findFreePort))))
+  const seeds = ports.slice(0, 3).map(([, , peer]) => `127.0.0.1:${peer}`)
+  await Promise.all(ports.map(async (own, index) => {
+    const [guest, readiness, peer, addressList, metrics] = own.map(port => `127.0.0.1:${port}`) as [string, string, string, string, string]
+    const name = `host-${index}`
+    const storeLink = await startFaultyProxy(store.address)
+    const settingsFile = join(directory, `${name}.env`)
+    writeFileSync(settingsFile, [
+      `SISKINBEAM_HOST=${name}`, `SISKINBEAM_DATA_CENTRE=${dataCentres[index % dataCentres.length]}`, `SISKINBEAM_GUEST_ADDRESS=${guest}`, `SISKINBEAM_READINESS_ADDRESS=${readiness}`,
+      `SISKINBEAM_PEER_ADDRESS=${peer}`, `SISKINBEAM_ADDRESS_LIST_ADDRESS=${addressList}`, `SISKINBEAM_METRICS_ADDRESS=${metrics}`, `SISKINBEAM_STORE_ADDRESS=${storeLink.address}`,
+      `SISKINBEAM_SEED_PEERS=${seeds.join(',')}`, `SISKINBEAM_DATA_CENTRES=${dataCentres.join(',')}`, 'SISKINBEAM_PROCESSOR_SHARE=1', 'SISKINBEAM_BOUNDS=retryBudgetRatio=0.2,retryWindowS=10,retrySlack=75,graceS=6,ttl_max_s=5', ''
+    ].join('\n'))
+    const startHost = (): RunningChild => startChild({
+      program: '@siskinbeam/platform-host/runPlatformHost', arguments: [], environment: { SISKINBEAM_CONFIG: settingsFile }, logFile: join(directory, `${name}.log`)
+    })
+    const host: SoakHost = {
+      name, guestAddress: guest, readinessAddress: readiness, addressListAddress: addressList, metricsAddress: metrics, storeLink, disturbances: [], child: startHost(), restarting: false, start: () => { host.child = startHost() }
+    }
+    hosts.push(host)
+  }))
+  return fleet
+}
+
+function describeConfiguration (version: number): Record<string, unknown> {
+  const route = { host: guestHost, timeoutS: routeTimeoutMilliseconds / 1_000, targetLatencyS: 0.4, priority: 1, service, maxAttempts: 3 }
+  return {
+    version: `r${version}`,
+    routes: [
+      { ...route, name: 'reads', prefix: '/reads/', kind: 'safe' },
+      { ...route, name: 'bookings', prefix: '/bookings/', kind: 'unsafe' },
+      { ...route, name: `added-${version}`, prefix: `/added/${version}/`, kind: 'safe' }
+    ],
+    services: [{ name: service, healthPath: '/health', maxConns: 200 }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutS: 3, idleTimeoutS: 15 }
+  }
+}
+
+async function findFreePort (): Promise<number> {
+  const probe = createServer()
+  await new Promise<void>(resolve => probe.listen(0, '127.0.0.1', resolve))
+  const { port } = probe.address() as AddressInfo
+  await new Promise<void>(resolve => probe.close(() => resolve()))
+  return port
+}
+
+export function pause (milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds))
+}
