--- a/daemon/platform-host/src/dataCentre/joinDataCentre.ts
+++ b/daemon/platform-host/src/dataCentre/joinDataCentre.ts
@@ -23,7 +23,8 @@
   run: () => ProcessBody
 }
 
-const askAgainMilliseconds = 120
+/** Hosts that lost power together come up within a few of these, and serve nobody until they know a seed. */
+const askAgainMilliseconds = 40
 /** Hosts that missed each other at their start find out within this time. */
 const introduceAgainMilliseconds = 3_000
 /** A host that watched for this long is likely to go on, so that a row in the store is worth its price. */
