Choose ports of processes below those of outgoing connections

Ruled out: two starts of the same host (one line in the log, before any fault struck that host). Change: core/listeners/findFreePort, one copy for both, gives ports below that range and skips those in use; its test fails for the former choice.

--- a/bench/soak/src/startFleet.ts
+++ b/bench/soak/src/startFleet.ts
@@ -1,8 +1,8 @@
 // The system of a soak: the stand-in of the store, servers and entry hosts as processes, and proxies on
 // the links between them.
 import { mkdirSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { join } from 'node:path'
+import { findFreePort } from '@siskinbeam/listeners/findFreePort'
 import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
 import type { Disturbance } from './checkPromises.js'
 import { startChild, type RunningChild } from './childProcess.js'
@@ -157,14 +157,6 @@
   }
 }
 
-async function findFreePort (): Promise<number> {
-  const probe = createServer()
-  await new Promise<void>(resolve => probe.listen(0, '127.0.0.1', resolve))
-  const { port } = probe.address() as AddressInfo
-  await new Promise<void>(resolve => probe.close(() => resolve()))
-  return port
-}
-
 export function pause (milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -1,6 +1,7 @@
 // A platform for tests: the stand-in of the store, scripted servers, and entry hosts in this process.
 import { createServer as createHttpServer, request as startRequest, type IncomingMessage, type ServerResponse } from 'node:http'
-import { createServer, type AddressInfo, type Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { findFreePort } from '@siskinbeam/listeners/findFreePort'
 import { createLogger } from '@siskinbeam/logging/createLogger'
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
@@ -155,13 +156,6 @@
   return platform
 }
 
-async function findFreePort (): Promise<number> {
-  const probe = createServer()
-  const port = await new Promise<number>(resolve => probe.listen(0, '127.0.0.1', () => resolve((probe.address() as AddressInfo).port)))
-  await new Promise<void>(resolve => probe.close(() => resolve()))
-  return port
-}
-
 export interface GuestAnswer {
   status: number
   headers: IncomingMessage['headers']
