--- a/bench/soak/src/injectFault.ts
+++ b/bench/soak/src/injectFault.ts
@@ -1,5 +1,5 @@
 // Carries out one planned fault from outside the processes, and takes it back when its time is over.
-import { Path } from '@siskinbeam/platform-adapter/wire'
+import { Path, Table } from '@siskinbeam/platform-adapter/wire'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
 import { DisturbanceKind, type Disturbance } from './checkPromises.js'
 import { exchange } from './driveGuests.js'
@@ -85,7 +85,7 @@
     fleet.servers.splice(fleet.servers.indexOf(server), 1)
     await fleet.startServer()
     await pause(fault.lastsMilliseconds)
-    fleet.store.remove('servers', server.id)
+    fleet.store.remove(Table.Servers, server.id)
     server.link.close()
   },
   [FaultKind.PauseServer]: async (fleet, fault) => {
--- a/bench/soak/src/startFleet.ts
+++ b/bench/soak/src/startFleet.ts
@@ -3,7 +3,9 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { findFreePort } from '@siskinbeam/listeners/findFreePort'
+import { configurationKey, Table } from '@siskinbeam/platform-adapter/wire'
 import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
+import { describeConfiguration, describeServerEntry } from '@siskinbeam/stand-in-platform-server/storeEntries'
 import type { Disturbance } from './checkPromises.js'
 import { startChild, type RunningChild } from './childProcess.js'
 import { startFaultyProxy, type FaultyProxy } from './faultyProxy.js'
@@ -56,6 +58,8 @@
 const drainMarginMilliseconds = 2_500
 const dataCentres = ['north', 'south']
 const service = 'desk'
+const slots = 4
+const maximumAttempts = 3
 const versionStep = 3
 
 /** Starts the store, the servers and the hosts. */
@@ -66,9 +70,9 @@
   const servers: SoakServer[] = []
   let started = 0
 
-  const putServer = (server: SoakServer, state: string): void => store.put('servers', server.id, {
-    service, address: server.link.address, zone: dataCentres[started % dataCentres.length], version: 'v1', slots: 4, state, warmupLeftS: 0, sequence: started, born: Date.now()
-  })
+  const putServer = (server: SoakServer, isDraining: boolean): void => store.put(Table.Servers, server.id, describeServerEntry({
+    service, address: server.link.address, dataCentre: dataCentres[started % dataCentres.length] ?? '', slots, isDraining, sequence: started, startedAt: Date.now()
+  }))
 
   const startServer = async (): Promise<SoakServer> => {
     started += 1
@@ -76,22 +80,22 @@
     const port = await findFreePort()
     const child = startChild({
       program: '@siskinbeam/stand-in-platform-server/runPlatformServer',
-      arguments: ['--id', id, '--port', String(port), '--run-file', join(directory, `runs-${id}.jsonl`)],
+      arguments: ['--id', id, '--port', String(port), '--slots', String(slots), '--run-file', join(directory, `runs-${id}.jsonl`)],
       environment: {},
       logFile: join(directory, `server-${id}.log`)
     })
     const server: SoakServer = { id, link: await startFaultyProxy(`127.0.0.1:${port}`), child, leftAt: undefined }
     servers.push(server)
-    putServer(server, 'ready')
+    putServer(server, false)
     return server
   }
 
   const retireServer = async (server: SoakServer): Promise<void> => {
     servers.splice(servers.indexOf(server), 1)
-    putServer(server, 'draining')
+    putServer(server, true)
     server.leftAt = Date.now()
     await pause(drainMilliseconds + drainMarginMilliseconds)
-    store.remove('servers', server.id)
+    store.remove(Table.Servers, server.id)
     server.child.signal('SIGKILL')
     server.link.close()
   }
@@ -106,7 +110,9 @@
     retireServer,
     putConfiguration: () => {
       fleet.configurationVersion += versionStep
-      store.put('op', 'config', describeConfiguration(fleet.configurationVersion))
+      store.put(Table.Operator, configurationKey, describeConfiguration({
+        version: fleet.configurationVersion, guestHost, service, routeTimeoutMilliseconds, maximumAttempts
+      }))
     },
     stop: async () => {
       const children = [...hosts, ...servers].map(({ child }) => child)
@@ -143,20 +149,6 @@
   return fleet
 }
 
-function describeConfiguration (version: number): Record<string, unknown> {
-  const route = { host: guestHost, timeoutS: routeTimeoutMilliseconds / 1_000, targetLatencyS: 0.4, priority: 1, service, maxAttempts: 3 }
-  return {
-    version: `r${version}`,
-    routes: [
-      { ...route, name: 'reads', prefix: '/reads/', kind: 'safe' },
-      { ...route, name: 'bookings', prefix: '/bookings/', kind: 'unsafe' },
-      { ...route, name: `added-${version}`, prefix: `/added/${version}/`, kind: 'safe' }
-    ],
-    services: [{ name: service, healthPath: '/health', maxConns: 200 }],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutS: 3, idleTimeoutS: 15 }
-  }
-}
-
 export function pause (milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -16,11 +16,19 @@
   assert.deepEqual([...new Set(drawn.map(({ kind }) => kind))].sort(), Object.values(FaultKind).sort())
 })
 
+// Seeds that failed once, with the cause, beside one that never did.
+const seeds: Array<[number, string]> = [
+  [1, 'a host that two faults stopped was started twice, and a kill during a stop counted as a stop'],
+  [100, 'a host did not start, since an outgoing connection had taken its port'],
+  [114, 'the same as seed 100'],
+  [seed, 'never failed']
+]
+
 // Times are not checked here, since a machine under other load may hold up the processes.
-test(`no promise is broken in a short soak (seed ${seed})`, async () => {
+seeds.forEach(([soakSeed, cause]) => test(`no promise is broken in a short soak (seed ${soakSeed}: ${cause})`, async () => {
   const directory = mkdtempSync(join(tmpdir(), 'soak-test-'))
-  const { violations, answered } = await runSeed({ seed, milliseconds: 10_000, hosts: 3, servers: 4, guests: 8, rate: 4, directory, checksTimes: false, report: () => {} })
+  const { violations, answered } = await runSeed({ seed: soakSeed, milliseconds: 10_000, hosts: 3, servers: 4, guests: 8, rate: 4, directory, checksTimes: false, report: () => {} })
   assert.deepEqual(violations, [], `logs are in ${directory}`)
   assert.ok(answered > 0)
   rmSync(directory, { recursive: true })
-})
+}))
