Touch only what changed: servers of the changed services, and silent hosts each 100 ms

Cause: a change of one server grouped all servers anew and chose the subsets of all services anew, on each host; each held call of a follower and each flush walked through the whole list of hosts (10,200 reads of the clock for 100 reads of the revision among 100 hosts); and joinDataCentre read once whether it is a seed, while a reload may change the seeds. Ruled out: a cache of subsets by service, which needs the same bookkeeping.

--- a/daemon/platform-host/src/dataCentre/joinDataCentre.ts
+++ b/daemon/platform-host/src/dataCentre/joinDataCentre.ts
@@ -36,7 +36,7 @@
   const { now, logger, settings } = host
   const startedAt = now()
   const otherSeeds = (): string[] => host.settings.seedPeers.filter(address => address !== settings.peerAddress)
-  const isSeed = host.settings.seedPeers.includes(settings.peerAddress)
+  const isSeed = (): boolean => host.settings.seedPeers.includes(settings.peerAddress)
   let seedAnswered = false
   let storeRead = false
   let joined = false
@@ -63,7 +63,7 @@
   function * runSteps (): ProcessBody {
     for (;;) {
       const step = decideJoin({
-        knownHosts: duty.hosts.size - 1, otherSeeds: otherSeeds().length, seedAnswered, isSeed, storeRead, elapsedMilliseconds: now() - startedAt
+        knownHosts: duty.hosts.size - 1, otherSeeds: otherSeeds().length, seedAnswered, isSeed: isSeed(), storeRead, elapsedMilliseconds: now() - startedAt
       })
       if (step === JoinStep.Joined) break
       yield take(fromPromise(step === JoinStep.AskSeeds ? introduceToSeeds() : readStore()))
--- a/daemon/platform-host/src/dataCentre/keepMembers.ts
+++ b/daemon/platform-host/src/dataCentre/keepMembers.ts
@@ -30,6 +30,8 @@
 /** Followers call at least twice in this time. */
 const silentMilliseconds = 1_300
 const keptRemovals = 500
+/** Looking for silent hosts goes through the whole list, and each held call asks for the revision. */
+const silenceCheckMilliseconds = 100
 
 /** Creates the list; `own` gives the own entry as it is now. */
 export function createMembers (own: () => Member, now: () => number): Members {
@@ -38,6 +40,7 @@
   let revision = 0
   let oldestRevision = 0
   let digest = { revision: -1, text: '' }
+  let checkedAt = -Infinity
 
   const put = (member: Member): void => {
     const known = listed.get(member.name)
@@ -57,6 +60,8 @@
   }
   const refresh = (): void => {
     put(own())
+    if (now() - checkedAt < silenceCheckMilliseconds) return
+    checkedAt = now()
     ;[...listed.values()].filter(({ at }) => now() - at >= silentMilliseconds).forEach(({ member }) => remove(member.name))
   }
   const hear = (member: Member): void => {
--- a/daemon/platform-host/src/servers/serverLinks.ts
+++ b/daemon/platform-host/src/servers/serverLinks.ts
@@ -28,18 +28,41 @@
 /** Creates an empty set of links. */
 export function createServerLinks (options: CreateServerLinksOptions): ServerLinks {
   const links = new Map<string, ServerLink>()
-  let byService = new Map<string, ServerLink[]>()
+  const byService = new Map<string, ServerLink[]>()
   let hosts = 1
 
-  const followOne = (id: string, server: RegisteredServer | undefined): void => {
+  const leaveService = (link: ServerLink): void => {
+    const { service } = link.server
+    const others = byService.get(service)?.filter(other => other !== link) ?? []
+    if (others.length === 0) byService.delete(service)
+    else byService.set(service, others)
+  }
+
+  const joinService = (link: ServerLink): void => {
+    const { service } = link.server
+    const others = byService.get(service)
+    if (others === undefined) byService.set(service, [link])
+    else others.push(link)
+  }
+
+  /** Gives the services whose servers have changed. */
+  const followOne = (id: string, server: RegisteredServer | undefined): string[] => {
     const known = links.get(id)
     if (known !== undefined && server !== undefined && isSameStart(known.server, server)) {
       known.update(server, options.now())
-      return
+      return [server.service]
+    }
+    if (known !== undefined) {
+      known.close()
+      links.delete(id)
+      leaveService(known)
     }
-    known?.close()
-    links.delete(id)
-    if (server !== undefined) links.set(id, createServerLink({ server, now: options.now(), onConnectionOpened: options.onConnectionOpened }))
+    if (server !== undefined) {
+      const link = createServerLink({ server, now: options.now(), onConnectionOpened: options.onConnectionOpened })
+      links.set(id, link)
+      joinService(link)
+    }
+    return [known?.server.service, server?.service].filter(service => service !== undefined)
   }
 
   const prefer = (group: ServerLink[], sharingHosts: number): void => {
@@ -58,9 +81,8 @@
   return {
     listService: service => byService.get(service) ?? [],
     follow: (registry, ids) => {
-      ids.forEach(id => followOne(id, registry.servers.get(id)?.server))
-      byService = groupByService(links)
-      byService.forEach(preferInService)
+      const changed = new Set(ids.flatMap(id => followOne(id, registry.servers.get(id)?.server)))
+      changed.forEach(service => preferInService(byService.get(service) ?? []))
     },
     adaptToHosts: () => {
       const counted = options.countHosts()
@@ -72,16 +94,6 @@
   }
 }
 
-function groupByService (links: Map<string, ServerLink>): Map<string, ServerLink[]> {
-  const groups = new Map<string, ServerLink[]>()
-  links.forEach(link => {
-    const group = groups.get(link.server.service)
-    if (group === undefined) groups.set(link.server.service, [link])
-    else group.push(link)
-  })
-  return groups
-}
-
 function isSameStart (first: RegisteredServer, second: RegisteredServer): boolean {
   return first.boot === second.boot && first.address === second.address && first.service === second.service
 }
