Let requests wait for a starting host's first configuration, and start following without calls to the store

A quarter of the hosts joined 0.33 s late, since they waited for all three seeds. Ruled out: a lack of servers (first answers came at 32.0 s, servers were full from 32.2 s on only), and the store. Change: requests wait up to 0.5 s in the host's first 1.2 s; joining ends when a seed has named a host; a host is its own source only once it chose itself.

--- a/daemon/platform-host/src/dataCentre/followSource.ts
+++ b/daemon/platform-host/src/dataCentre/followSource.ts
@@ -50,6 +50,7 @@
   let confirmedAt = -Infinity
   let askedElsewhereAt = now()
   let announced = false
+  let hasChosen = false
 
   const announce = async (): Promise<void> => {
     const others = [...duty.hosts.values()].filter(({ name }) => name !== settings.host)
@@ -110,6 +111,7 @@
         continue
       }
       setSource(chooseSource(duty, source, now()))
+      hasChosen = true
       askElsewhere()
       if (source.name === settings.host) {
         announceOnce()
@@ -128,7 +130,7 @@
   }
 
   return {
-    isOwnSource: () => hasJoined() && source.name === settings.host,
+    isOwnSource: () => hasChosen && source.name === settings.host,
     source: () => source.name,
     confirmedAt: () => confirmedAt,
     announce,
--- a/daemon/platform-host/src/dataCentre/joinDataCentre.ts
+++ b/daemon/platform-host/src/dataCentre/joinDataCentre.ts
@@ -42,10 +42,15 @@
   let joined = false
   let listed = false
 
-  const introduceToSeeds = async (): Promise<void> => {
-    const answered = await Promise.all(otherSeeds().map(calls.introduce))
-    seedAnswered ||= answered.includes(true)
-  }
+  /** Ends once a seed has named a host, since another seed may be without power and not answer at all. */
+  const introduceToSeeds = (): Promise<void> => new Promise((resolve, reject) => {
+    const introductions = otherSeeds().map(async address => {
+      if (!await calls.introduce(address)) return
+      seedAnswered = true
+      if (duty.hosts.size > 1) resolve()
+    })
+    Promise.all(introductions).then(() => resolve(), reject)
+  })
 
   const readStore = async (): Promise<void> => {
     const reply = await store.readTable(Table.EntryHosts, settings.dataCentre)
--- a/daemon/platform-host/src/guestListeners.ts
+++ b/daemon/platform-host/src/guestListeners.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { isAddressRequest, isReadinessRequest, readGuestHead, writeAddresses } from '@siskinbeam/platform-adapter/guestDialect'
 import type { PlatformHost } from './platformHost.js'
+import { awaitFirstView } from './requestPath/awaitFirstView.js'
 import { collectBody } from './requestPath/collectBody.js'
 import { dispatchRequest } from './requestPath/dispatchRequest.js'
 import { findRoute } from './requestPath/findRoute.js'
@@ -24,7 +25,7 @@
 
 /** Creates the listener for requests of guests: each goes through the filters of the request path in turn. */
 export function createGuestListener (host: PlatformHost): GuestListener {
-  const serve = joinFilters([findRoute, collectBody, dispatchRequest])
+  const serve = joinFilters([awaitFirstView, findRoute, collectBody, dispatchRequest])
   let inFlight = 0
   const server = createServer({ maxHeaderSize: largestHeaderBytes, requestTimeout: 0, keepAliveTimeout: assumedIdleMilliseconds + idleMarginMilliseconds }, (request, response) => {
     inFlight += 1
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -7,6 +7,7 @@
 import type { FurtherSend } from '@siskinbeam/retry-share/retryShare'
 import type { CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import type { FullnessState } from '@siskinbeam/server-ranking/fullnessFactor'
+import type { FirstView } from './dataCentre/firstView.js'
 import type { LongestWaits } from './requestPath/longestWaits.js'
 import type { WorkEstimates } from './requestPath/workEstimates.js'
 import type { ServerLinks } from './servers/serverLinks.js'
@@ -24,6 +25,9 @@
   random: Random
   /** Milliseconds of the monotonic clock. */
   now: () => number
+  /** When the host started, on the monotonic clock. */
+  startedAt: number
+  firstView: FirstView
   /** Undefined until a configuration is known. */
   routes: () => RouteTable | undefined
   links: ServerLinks
--- a/daemon/platform-host/src/requestPath/findRoute.ts
+++ b/daemon/platform-host/src/requestPath/findRoute.ts
@@ -4,14 +4,14 @@
 import type { Filter } from './guestExchange.js'
 import { refuse } from './refuse.js'
 
-/** How long a new host takes to learn a configuration. */
-const learningMilliseconds = 400
+/** Another host is likely to know a configuration by then. */
+const retryAfterMilliseconds = 400
 
 export const findRoute: Filter = (exchange, next) => {
   const { host } = exchange
   const table = host.routes()
   if (table === undefined) {
-    refuse(exchange, { code: ResultCode.NoBundle, reason: 'no configuration is known', retryAfterMilliseconds: learningMilliseconds })
+    refuse(exchange, { code: ResultCode.NoBundle, reason: 'no configuration is known', retryAfterMilliseconds })
     return
   }
   const route = table.findRoute(exchange.request.headers.host ?? '', exchange.path)
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -17,6 +17,7 @@
 import { createIntroductions } from '@siskinbeam/watch-duty/introductions'
 import { addHosts, createDutyState, noteHostCalled } from '@siskinbeam/watch-duty/watchDuty'
 import { callPeers } from './dataCentre/callPeers.js'
+import { createFirstView } from './dataCentre/firstView.js'
 import { followSource } from './dataCentre/followSource.js'
 import { joinDataCentre } from './dataCentre/joinDataCentre.js'
 import { createMembers } from './dataCentre/keepMembers.js'
@@ -80,12 +81,16 @@
     now,
     onConnectionOpened: () => metrics.count('server_connections_total')
   })
+  const view = createView({ logger, metrics, now, onServers: (registry, ids) => links.follow(registry, ids) })
+  const firstView = createFirstView(view)
   const host: PlatformHost = {
     settings,
     logger,
     metrics,
     random,
     now,
+    startedAt: now(),
+    firstView,
     routes: () => view.routes(),
     links,
     leaving: () => leaving,
@@ -103,14 +108,13 @@
       }, purpose, now())
     }
   }
-  const view = createView({ logger, metrics, now, onServers: (registry, ids) => links.follow(registry, ids) })
   function * adaptSubsets (): ProcessBody {
     for (;;) {
       yield sleep(adaptMilliseconds)
       links.adaptToHosts()
     }
   }
-  const isReady = (): boolean => !leaving && view.routes() !== undefined && view.registry.version > 0
+  const isReady = (): boolean => !leaving && firstView.isKnown()
   const own = (): Member => ({ ...duty.own, dataCentre: settings.dataCentre, ready: isReady() })
   const members = createMembers(own, now)
   const store = createStoreClient({ address: settings.storeAddress, onCall: (call, outcome) => metrics.count(`store_calls_total{call="${call}",outcome="${outcome}"}`) })
--- /dev/null
+++ b/daemon/platform-host/test/joinDataCentre.test.ts
@@ -0,0 +1,37 @@
+// Guards the start of a host: against a seed without power that holds up hosts which another seed answers.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createLogger } from '@siskinbeam/logging/createLogger'
+import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import { addHosts, createDutyState } from '@siskinbeam/watch-duty/watchDuty'
+import type { PeerCalls } from '../src/dataCentre/callPeers.js'
+import { joinDataCentre } from '../src/dataCentre/joinDataCentre.js'
+import type { PlatformHost } from '../src/platformHost.js'
+import { waitUntil } from './support/startPlatform.js'
+
+const describeHost = (name: string): { name: string, peerAddress: string, guestAddress: string, processorShare: number } =>
+  ({ name, peerAddress: `${name}:1`, guestAddress: `${name}:2`, processorShare: 0.2 })
+
+test('a host joins by the seed that answers though another stays silent', async () => {
+  const duty = createDutyState(describeHost('own'))
+  const logger = createLogger({ component: 'entry-host', fields: {}, write: () => {} })
+  const settings = { host: 'own', dataCentre: 'north', peerAddress: 'own:1', seedPeers: ['silent:1', 'answering:1'] }
+  const calls: Pick<PeerCalls, 'introduce'> = {
+    introduce: address => {
+      if (address === 'silent:1') return new Promise(() => {})
+      addHosts(duty, [describeHost('other')])
+      return Promise.resolve(true)
+    }
+  }
+  const entry = joinDataCentre({
+    host: { settings, logger, now: () => performance.now() } as unknown as PlatformHost,
+    duty,
+    calls: calls as PeerCalls,
+    store: {} as never,
+    isOwnSource: () => false
+  })
+  const joining = superviseProcess({ name: 'join', logger, body: entry.run })
+  await waitUntil('the host has joined', entry.hasJoined)
+  joining.stop()
+  assert.ok(entry.hasJoined())
+})
