--- a/daemon/platform-host/test/startCost.test.ts
+++ b/daemon/platform-host/test/startCost.test.ts
@@ -1,7 +1,8 @@
 // Guards the start of a host, which is charged in full after each restart: against modules of Node and a
-// writer of logs that cost a tenth of it each and are not needed.
+// writer of logs that cost a tenth of it each and are not needed, and against flags that make it dearer.
 import assert from 'node:assert/strict'
 import { spawnSync } from 'node:child_process'
+import { readFileSync } from 'node:fs'
 import { test } from 'node:test'
 import { fileURLToPath } from 'node:url'
 
@@ -17,3 +18,14 @@
   assert.deepEqual(unneeded.filter(name => modules.includes(`NativeModule ${name}`)), [])
   assert.equal(teardown, 'undefined', 'roarr has set up its own writer')
 })
+
+test('the flags of the deploy file leave the code cache of Node\'s own modules valid', () => {
+  const deployFile = readFileSync(new URL('../../../../deploy/system.toml', import.meta.url), 'utf8')
+  const [, flags = ''] = /^run = "node (.*)target\/siskinbeam\.cjs"$/m.exec(deployFile) ?? []
+  const program = `
+    require('node:http')
+    const { getCacheUsage } = require('internal/test/binding').internalBinding('builtins')
+    require('node:fs').writeSync(2, JSON.stringify([...getCacheUsage().compiledWithoutCache]))`
+  const { stderr } = spawnSync(process.execPath, ['--expose-internals', '--no-warnings', ...flags.split(' ').filter(flag => flag !== ''), '-e', program], { encoding: 'utf8' })
+  assert.ok(!(JSON.parse(stderr) as string[]).includes('_http_server'), `the flags "${flags}" make Node compile its HTTP modules at each start`)
+})
