--- a/bench/bench/src/runExperiment.ts
+++ b/bench/bench/src/runExperiment.ts
@@ -1,40 +1,21 @@
 // One run: starts the system, drives load with faults, and computes the record.
 import { createRandom } from '@siskinbeam/random/createRandom'
-import type { BundleInput, Policy } from '@siskinbeam/schema/bundle'
-import { readMetrics, readProcessorMilliseconds, readResidentMegabytes } from './cluster/observeProcesses.js'
+import type { BundleInput } from '@siskinbeam/schema/bundle'
+import { readProcessorMilliseconds, readResidentMegabytes } from './cluster/observeProcesses.js'
+import { readAllMetrics } from './cluster/readAllMetrics.js'
 import { startCluster, type Cluster } from './cluster/startCluster.js'
-import { FaultName } from './faults/faultName.js'
 import { injectFaults, scheduleFaults } from './faults/injectFaults.js'
 import { createGuests } from './load/createGuests.js'
 import { driveLoad, type LoadResult } from './load/driveLoad.js'
 import type { GuestRequest } from './load/invocation.js'
 import type { RunRecord } from './record.js'
+import type { ProcessSample, RunExperimentOptions } from './runExperimentOptions.js'
 import { summarizeRun } from './summarizeRun.js'
-import type { Workload } from './workload.js'
-
-export interface RunExperimentOptions {
-  workload: Workload
-  policy: Policy
-  seed: number
-  seconds: number
-  load: number
-  fault: FaultName
-  entryHosts: number
-  probesPerRequest?: number
-  /** Off to measure the time that an entry host adds, which a hedge would hide. */
-  hedging?: boolean
-}
 
 const warmupSeconds = 3
 const idleMilliseconds = 3_000
 const directShare = 0.05
 
-/** Processor time and memory of the entry hosts over a time. */
-export interface ProcessSample {
-  busiestPercent: number
-  residentMegabytes: number
-}
-
 /** Runs one experiment on a system of its own. */
 export async function runExperiment (options: RunExperimentOptions): Promise<RunRecord> {
   const { workload, policy, seed, seconds, load, fault } = options
@@ -80,15 +61,6 @@
   bundle.services.forEach(service => { service.hedging = { enabled: false } })
 }
 
-/** Metrics of all entry hosts, summed by name. */
-export async function readAllMetrics ({ entryHosts, operatorKey }: Cluster): Promise<Map<string, number>> {
-  const all = await Promise.all(entryHosts.map(({ planned }) => readMetrics(planned.metricsAddress, operatorKey)))
-  return all.reduce((sums, metrics) => {
-    metrics.forEach((value, name) => sums.set(name, (sums.get(name) ?? 0) + value))
-    return sums
-  }, new Map<string, number>())
-}
-
 async function sampleProcesses ({ entryHosts }: Cluster, act: () => Promise<void>): Promise<ProcessSample> {
   const processIds = entryHosts.map(({ process }) => process.child.pid ?? 0)
   const before = processIds.map(readProcessorMilliseconds)
--- a/bench/bench/src/summarizeRun.ts
+++ b/bench/bench/src/summarizeRun.ts
@@ -2,6 +2,7 @@
 import { existsSync } from 'node:fs'
 import { build } from 'hdr-histogram-js'
 import { callControl } from './cluster/callControl.js'
+import { readAllMetrics } from './cluster/readAllMetrics.js'
 import type { Cluster } from './cluster/startCluster.js'
 import type { LoadResult } from './load/driveLoad.js'
 import { classifyRequest, FinalEnd, SendEnd, type GuestRequest } from './load/invocation.js'
@@ -9,7 +10,7 @@
 import { checkRunHistory, readCommittedClaims } from './checkRunHistory.js'
 import { readRunLog } from './readRunLog.js'
 import type { RunRecord } from './record.js'
-import { readAllMetrics, type ProcessSample, type RunExperimentOptions } from './runExperiment.js'
+import type { ProcessSample, RunExperimentOptions } from './runExperimentOptions.js'
 
 export interface SummarizeRunOptions {
   options: RunExperimentOptions
--- a/bench/soak/src/checkPromises.ts
+++ b/bench/soak/src/checkPromises.ts
@@ -1,5 +1,6 @@
 // The promises of the pages, checked from what guests saw and what servers ran.
 import { RunEvent, type RunLine } from '@siskinbeam/stand-in-platform-server/runLine'
+import { DisturbanceKind, type Disturbance } from './disturbance.js'
 import type { SeenRequest } from './driveGuests.js'
 
 export enum BrokenPromise {
@@ -27,20 +28,6 @@
   detail: string
 }
 
-/** A time in which a host was killed, stopped or paused; epoch milliseconds. */
-export interface Disturbance {
-  from: number
-  to: number
-  kind: DisturbanceKind
-}
-
-export enum DisturbanceKind {
-  Killed = 'killed',
-  /** Told to stop by SIGTERM. */
-  Stopped = 'stopped',
-  Paused = 'paused'
-}
-
 export interface CheckPromisesOptions {
   seen: SeenRequest[]
   runs: RunLine[]
--- a/bench/soak/src/driveGuests.ts
+++ b/bench/soak/src/driveGuests.ts
@@ -1,11 +1,12 @@
 // Guests of a soak: they ask any host for addresses, keep connections until the process behind them is
 // gone, and note what became of each request.
 import { Agent, request as startRequest, type IncomingMessage } from 'node:http'
+import { setTimeout as pause } from 'node:timers/promises'
 import { Header, Path } from '@siskinbeam/platform-adapter/wire'
 import { createRandom, drawExponential, pickIndex, type Random } from '@siskinbeam/random/createRandom'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { signAnswer, writeAnswerBody } from '@siskinbeam/stand-in-platform-server/answerBody'
-import { guestHost, pause, type SoakHost } from './startFleet.js'
+import { guestHost, type SoakHost } from './startFleet.js'
 
 /** What a guest saw of one request. Times are epoch milliseconds. */
 export interface SeenRequest {
--- a/bench/soak/src/faultyProxy.ts
+++ b/bench/soak/src/faultyProxy.ts
@@ -1,5 +1,6 @@
 // A proxy on loopback whose connections can be delayed, reset, silenced, or cut in one direction.
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 
 export interface LinkFaults {
@@ -70,10 +71,6 @@
   while (isHeld()) await pause(holdPollMilliseconds)
 }
 
-function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds))
-}
-
 // Node 20 never closes the handle of a socket that is reset after its end was written, and then hangs at its exit.
 function resetSocket (socket: Socket): void {
   if (socket.writableEnded) socket.destroy()
--- a/bench/soak/src/injectFault.ts
+++ b/bench/soak/src/injectFault.ts
@@ -1,11 +1,12 @@
 // Carries out one planned fault from outside the processes, and takes it back when its time is over.
+import { setTimeout as pause } from 'node:timers/promises'
 import { Path, Table } from '@siskinbeam/platform-adapter/wire'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
-import { DisturbanceKind, type Disturbance } from './checkPromises.js'
+import { DisturbanceKind, type Disturbance } from './disturbance.js'
 import { exchange } from './driveGuests.js'
 import { soundLink } from './faultyProxy.js'
 import { FaultKind, type PlannedFault } from './planFaults.js'
-import { pause, type Fleet, type SoakHost, type SoakServer } from './startFleet.js'
+import { type Fleet, type SoakHost, type SoakServer } from './startFleet.js'
 
 const restartMilliseconds = 300
 const listenPollMilliseconds = 20
--- a/bench/soak/src/runSeed.ts
+++ b/bench/soak/src/runSeed.ts
@@ -2,13 +2,14 @@
 // checks the promises.
 import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
 import { Path } from '@siskinbeam/platform-adapter/wire'
 import type { RunLine } from '@siskinbeam/stand-in-platform-server/runLine'
 import { BrokenPromise, checkPromises, type Violation } from './checkPromises.js'
 import { driveGuests, exchange, sendRequest, type SeenRequest } from './driveGuests.js'
 import { injectFault } from './injectFault.js'
 import { planFaults } from './planFaults.js'
-import { drainMilliseconds, guestHost, pause, routeTimeoutMilliseconds, startFleet, type Fleet, type SoakHost } from './startFleet.js'
+import { drainMilliseconds, guestHost, routeTimeoutMilliseconds, startFleet, type Fleet, type SoakHost } from './startFleet.js'
 
 export interface RunSeedOptions {
   seed: number
--- a/bench/soak/src/startFleet.ts
+++ b/bench/soak/src/startFleet.ts
@@ -2,12 +2,13 @@
 // the links between them.
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
 import { findFreePort } from '@siskinbeam/listeners/findFreePort'
 import { configurationKey, Table } from '@siskinbeam/platform-adapter/wire'
 import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
 import { describeConfiguration, describeServerEntry } from '@siskinbeam/stand-in-platform-server/storeEntries'
-import type { Disturbance } from './checkPromises.js'
 import { startChild, type RunningChild } from './childProcess.js'
+import type { Disturbance } from './disturbance.js'
 import { startFaultyProxy, type FaultyProxy } from './faultyProxy.js'
 
 export interface SoakHost {
@@ -15,7 +16,6 @@
   guestAddress: string
   addressListAddress: string
   readinessAddress: string
-  metricsAddress: string
   storeLink: FaultyProxy
   child: RunningChild
   disturbances: Disturbance[]
@@ -142,13 +142,9 @@
       program: '@siskinbeam/platform-host/runPlatformHost', arguments: [], environment: { SISKINBEAM_CONFIG: settingsFile }, logFile: join(directory, `${name}.log`)
     })
     const host: SoakHost = {
-      name, guestAddress: guest, readinessAddress: readiness, addressListAddress: addressList, metricsAddress: metrics, storeLink, disturbances: [], child: startHost(), restarting: false, start: () => { host.child = startHost() }
+      name, guestAddress: guest, readinessAddress: readiness, addressListAddress: addressList, storeLink, disturbances: [], child: startHost(), restarting: false, start: () => { host.child = startHost() }
     }
     hosts.push(host)
   }))
   return fleet
 }
-
-export function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds))
-}
--- a/bench/soak/test/checkPromises.test.ts
+++ b/bench/soak/test/checkPromises.test.ts
@@ -3,7 +3,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { RunEvent, type RunLine } from '@siskinbeam/stand-in-platform-server/runLine'
-import { BrokenPromise, checkPromises, DisturbanceKind, type Disturbance } from '../src/checkPromises.js'
+import { BrokenPromise, checkPromises } from '../src/checkPromises.js'
+import { DisturbanceKind, type Disturbance } from '../src/disturbance.js'
 import type { SeenRequest } from '../src/driveGuests.js'
 
 const answered: SeenRequest = { id: 'r', unsafe: true, host: 'host-0', sentAt: 10_000, endedAt: 10_100, status: 200, isOwnAnswer: true, reused: false, hasAnswerBytes: true }
--- a/daemon/entry-host/src/claims/requestClaim.ts
+++ b/daemon/entry-host/src/claims/requestClaim.ts
@@ -1,7 +1,7 @@
 // The claim of one exchange, as the filters of the request path use it.
 import type { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import type { StoredAnswer } from '@siskinbeam/request-claims/claimRow'
-import type { Account } from '../requestPath/accountFor.js'
+import type { Account } from '../requestPath/account.js'
 
 /** What a claim asks of the request path. */
 export interface ClaimHandlers {
--- a/daemon/entry-host/src/requestPath/accountFor.ts
+++ b/daemon/entry-host/src/requestPath/accountFor.ts
@@ -4,17 +4,9 @@
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { checkInvariant, Invariant } from '@siskinbeam/invariants/checkInvariant'
 import { decideOutcomeWithoutClaim } from '@siskinbeam/request-claims/decideOutcome'
+import type { Account } from './account.js'
 import { finishExchange, type Exchange } from './exchange.js'
 
-/** What is said to the guest. */
-export interface Account {
-  code: ResultCode
-  message: string
-  /** Whether the request ran; the default is that of the code. */
-  outcome?: Outcome
-  retryAfterMilliseconds?: number
-}
-
 /** Formats the siskinbeam-account header. */
 export function formatAccountHeader (code: ResultCode, outcome: Outcome, requestId: string): string {
   return `code=${code}; name=${ResultCode[code]}; outcome=${outcome}; request=${requestId}`
--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -9,9 +9,9 @@
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { checkServerDeath } from '../servers/checkServerDeath.js'
 import { feedChoice, feedHealth, noteReport, noteShed, readSigns } from '../servers/observeServers.js'
-import type { Account } from './accountFor.js'
+import type { Account } from './account.js'
 import { feedAdmission, readClassRank } from './admitRequest.js'
-import { cancelOpen, sendNext } from './dispatchRequest.js'
+import { cancelOpen } from './cancelOpen.js'
 import { failRequest, schedule, type Dispatch, type OpenAttempt } from './dispatchState.js'
 import { keepAnswer } from './keepAnswer.js'
 import { AnswerEnd, relayAnswer } from './relayAnswer.js'
@@ -148,5 +148,5 @@
     return failRequest(dispatch, account)
   }
   host.metrics.count('retries_total')
-  schedule(dispatch, decision.delayMilliseconds, () => sendNext(dispatch, false))
+  schedule(dispatch, decision.delayMilliseconds, () => dispatch.sendNext(dispatch, false))
 }
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -4,7 +4,7 @@
 import { carriesRetriedHeader } from '@siskinbeam/retries/decideRetry'
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
-import { ChoiceEventKind, CompletionKind } from '@siskinbeam/server-choice/choiceState'
+import { ChoiceEventKind } from '@siskinbeam/server-choice/choiceState'
 import { chooseServer } from '@siskinbeam/server-choice/chooseServer'
 import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
@@ -13,6 +13,7 @@
 import { feedConnections } from '../servers/watchConnections.js'
 import { accountFor } from './accountFor.js'
 import { handleOutcome } from './attemptOutcomes.js'
+import { cancelOpen } from './cancelOpen.js'
 import { createDispatch, failRequest, mayHaveStarted, type Dispatch, type OpenAttempt } from './dispatchState.js'
 import { finishExchange, type Filter } from './exchange.js'
 import { makeServerHeaders } from './forwardHeaders.js'
@@ -27,7 +28,7 @@
 export const dispatchRequest: Filter = exchange => {
   const { service, host } = exchange
   if (service === undefined) return
-  const dispatch = createDispatch(exchange, service)
+  const dispatch = createDispatch(exchange, service, sendNext)
   recordFirstSend(service.retryBudget, host.now())
   host.metrics.recordMilliseconds('before_send_milliseconds', host.now() - exchange.receivedAt)
   const deadlineTimer = setTimeout(onDeadline, Math.max(0, exchange.deadlineAt - host.now()), dispatch)
@@ -39,8 +40,7 @@
   sendNext(dispatch, false)
 }
 
-/** Chooses a server and sends the request to it. */
-export function sendNext (dispatch: Dispatch, isHedge: boolean): void {
+function sendNext (dispatch: Dispatch, isHedge: boolean): void {
   const { host, exchange, service } = dispatch
   if (exchange.finished || dispatch.answered) return
   decideIsolation(dispatch, serverName => {
@@ -123,22 +123,6 @@
   return !exchange.finished && (exchange.claim?.maySend() ?? true) && readServerWeight(service.health, server.place.name, host.now()) > 0
 }
 
-/** Gives up the sends that are still open; servers take the close of the connection as cancellation. */
-export function cancelOpen (dispatch: Dispatch): void {
-  const { host, service } = dispatch
-  dispatch.open.forEach(open => {
-    open.attempt.cancel()
-    open.server.openSends.delete(open)
-    feedChoice(host, service, {
-      kind: ChoiceEventKind.Completed,
-      server: open.server.place.name,
-      latencyMilliseconds: host.now() - open.startedAt,
-      completion: CompletionKind.Cancelled
-    })
-  })
-  dispatch.open.clear()
-}
-
 function onDeadline (dispatch: Dispatch): void {
   const { exchange, host, service } = dispatch
   // An answer on its way may be longer than the deadline; a connection that goes silent is found by its health.
--- a/daemon/entry-host/src/requestPath/dispatchState.ts
+++ b/daemon/entry-host/src/requestPath/dispatchState.ts
@@ -1,7 +1,8 @@
 // One request while it is being sent: which servers had it, and which sends are not answered yet.
 import type { OpenSend, ServerRuntime, ServiceRuntime } from '../servers/serviceRuntime.js'
 import type { EntryHost } from '../entryHost.js'
-import { accountFor, type Account } from './accountFor.js'
+import type { Account } from './account.js'
+import { accountFor } from './accountFor.js'
 import { fingerprintExchange } from './fingerprintExchange.js'
 import type { Exchange } from './exchange.js'
 import type { Attempt } from './sendAttempt.js'
@@ -34,10 +35,12 @@
   isolated: boolean
   readonly timers: Set<NodeJS.Timeout>
   readonly fingerprint: () => string
+  /** Chooses a server and sends the request to it. */
+  readonly sendNext: (dispatch: Dispatch, isHedge: boolean) => void
 }
 
 /** Creates the state of a dispatch. */
-export function createDispatch (exchange: Exchange, service: ServiceRuntime): Dispatch {
+export function createDispatch (exchange: Exchange, service: ServiceRuntime, sendNext: Dispatch['sendNext']): Dispatch {
   let fingerprint: string | undefined
   return {
     host: exchange.host,
@@ -53,7 +56,8 @@
     fingerprint: () => {
       fingerprint ??= fingerprintExchange(exchange)
       return fingerprint
-    }
+    },
+    sendNext
   }
 }
 
--- a/daemon/entry-host/src/requestPath/hedgeRequest.ts
+++ b/daemon/entry-host/src/requestPath/hedgeRequest.ts
@@ -2,7 +2,6 @@
 import { decideHedge, HedgeDecisionKind, type HedgeDecision } from '@siskinbeam/hedging/decideHedge'
 import { decideRetry, RetryCause } from '@siskinbeam/retries/decideRetry'
 import { readClassRank } from './admitRequest.js'
-import { sendNext } from './dispatchRequest.js'
 import { schedule, type Dispatch, type OpenAttempt } from './dispatchState.js'
 
 /** Decides on a hedge now and again when the decision says so. */
@@ -51,5 +50,5 @@
   if (!decision.retries) return
   dispatch.hedges += 1
   host.metrics.count('hedges_total')
-  sendNext(dispatch, true)
+  dispatch.sendNext(dispatch, true)
 }
--- a/daemon/entry-host/src/requestPath/identifyRequest.ts
+++ b/daemon/entry-host/src/requestPath/identifyRequest.ts
@@ -2,7 +2,8 @@
 import { randomUUID } from 'node:crypto'
 import { maximumCallDepth, IdempotencyKeyRule } from '@siskinbeam/schema/bundle'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { accountFor, type Account } from './accountFor.js'
+import type { Account } from './account.js'
+import { accountFor } from './accountFor.js'
 import type { Exchange, Filter } from './exchange.js'
 
 const longestKey = 200
--- a/daemon/platform-host/src/dataCentre/firstView.ts
+++ b/daemon/platform-host/src/dataCentre/firstView.ts
@@ -1,5 +1,11 @@
 // Tells when a host knows a configuration and the servers for the first time. Until then it serves nobody.
-import type { View } from './view.js'
+
+/** What is followed of a view. */
+export interface FollowedView {
+  routes: () => unknown
+  registry: { version: number }
+  onChange: (listener: () => void) => void
+}
 
 export interface FirstView {
   isKnown: () => boolean
@@ -8,7 +14,7 @@
 }
 
 /** Follows a view. */
-export function createFirstView (view: Pick<View, 'routes' | 'registry' | 'onChange'>): FirstView {
+export function createFirstView (view: FollowedView): FirstView {
   const waiting = new Set<() => void>()
   const isKnown = (): boolean => view.routes() !== undefined && view.registry.version > 0
   view.onChange(() => { if (isKnown()) [...waiting].forEach(resume => resume()) })
