--- a/routing/server-ranking/src/rankServers.ts
+++ b/routing/server-ranking/src/rankServers.ts
@@ -1,8 +1,8 @@
 // Estimates when a server would have finished one more request, from its answer to a question that was
 // asked milliseconds before, and ranks servers by it.
 //
-// A server shares its machine with others, so its pace changes many times a second. A slow pace is
-// therefore not taken to last: after `paceHorizonMilliseconds` the server is assumed to work as usual.
+// A server shares its machine with others, so its pace changes many times a second. Work keeps the pace
+// at which it starts, so a wait for a server of the usual pace is often shorter than work on a slow one.
 import { wouldBeNearlyFull } from './fullnessFactor.js'
 
 /** What a server says of itself. */
@@ -38,8 +38,6 @@
   hasRoom: boolean
 }
 
-/** Servers report their pace anew a few times a second; half of that time it still lasts on average. */
-const paceHorizonMilliseconds = 250
 const coldFactor = 2
 /** Two trips between data centres, and a small preference for the own one while it has room. */
 const otherDataCentreMilliseconds = 30
@@ -48,8 +46,7 @@
 /** Milliseconds until a server would have answered one more request of `workMilliseconds`. */
 export function estimateCompletion (view: ServerView, workMilliseconds: number): number {
   const { load } = view
-  const pace = Math.max(1, load.pace)
-  const slowed = Math.min((pace - 1) * workMilliseconds, paceHorizonMilliseconds * (1 - 1 / pace))
+  const slowed = (Math.max(1, load.pace) - 1) * workMilliseconds
   const occupied = load.running + load.waiting + view.unreported
   const ahead = Math.max(0, occupied + 1 - load.slots) / Math.max(1, load.slots)
   const fullness = wouldBeNearlyFull(occupied, load.slots) ? view.fullnessFactor : 1
