--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -52,6 +52,7 @@
 const assumedTargetShare = 0.4
 const inDataCentreMilliseconds = 0.1
 
+const admittingPolicies = new Set([PlatformPolicy.Ours, PlatformPolicy.OmniscientAdmission])
 const roundsOf: Partial<Record<PlatformPolicy, number>> = { [PlatformPolicy.AskOnce]: 1, [PlatformPolicy.AskRounds]: 3, [PlatformPolicy.Ours]: 3 }
 
 /** Creates a host. */
@@ -121,14 +122,15 @@
     [PlatformPolicy.AskOnce]: (kind, onChosen) => askRounds(kind, roundsOf[policy] ?? 1, onChosen),
     [PlatformPolicy.AskRounds]: (kind, onChosen) => askRounds(kind, roundsOf[policy] ?? 1, onChosen),
     [PlatformPolicy.Ours]: (kind, onChosen) => askRounds(kind, roundsOf[policy] ?? 1, onChosen),
-    [PlatformPolicy.Omniscient]: (kind, onChosen) => onChosen(rank(serversOf(kind.service).map(look), kind))
+    [PlatformPolicy.Omniscient]: (kind, onChosen) => onChosen(rank(serversOf(kind.service).map(look), kind)),
+    [PlatformPolicy.OmniscientAdmission]: (kind, onChosen) => onChosen(rank(serversOf(kind.service).map(look), kind))
   }
 
   const mayBeSent = (kind: RequestKind, choice: RankedServer<AskedServer>, elapsed: number): boolean => {
     const { pressure, correction } = stateOf(kind.service)
     const { load } = choice.server
     noteChoice(pressure, wouldBeNearlyFull(load.running + load.waiting, load.slots))
-    return policy !== PlatformPolicy.Ours || decideAdmission({
+    return !admittingPolicies.has(policy) || decideAdmission({
       estimate: choice.estimate * correction.factor,
       elapsed,
       targetLatencyMilliseconds: kind.targetLatencyMilliseconds,
--- a/routing/platform-comparison/src/platformScenario.ts
+++ b/routing/platform-comparison/src/platformScenario.ts
@@ -50,7 +50,9 @@
   /** The same with admission, as the daemon does it. */
   Ours = 'ours',
   /** All servers are known at the moment of the send, at no cost. */
-  Omniscient = 'omniscient'
+  Omniscient = 'omniscient',
+  /** The same with admission: the limit of what admission can reach by any choice. */
+  OmniscientAdmission = 'omniscient-admission'
 }
 
 const trust: PlatformScenario = {
