--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -1,12 +1,12 @@
 // An entry host of the users' platform in virtual time. Servers are asked, ranked and sent to by the
 // decision modules that the daemon uses; a choice is looked up by the policy.
 import { decideAdmission, Importance } from '@siskinbeam/admission/decideAdmission'
-import { createPressure, isOverloaded, noteChoice } from '@siskinbeam/admission/overloadPressure'
+import { createPressure, isOverloaded, noteChoice, type PressureState } from '@siskinbeam/admission/overloadPressure'
 import type { VirtualTime } from '@siskinbeam/policy-comparison/eventQueue'
-import { pickIndex, sample, type Random } from '@siskinbeam/random/createRandom'
+import { sample, type Random } from '@siskinbeam/random/createRandom'
 import { chooseAsked } from '@siskinbeam/server-ranking/chooseAsked'
-import { createCorrection, noteEstimate } from '@siskinbeam/server-ranking/estimateCorrection'
-import { createFullness, noteAnswerTime, readFullnessFactor, wouldBeNearlyFull } from '@siskinbeam/server-ranking/fullnessFactor'
+import { createCorrection, noteEstimate, type CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
+import { createFullness, noteAnswerTime, readFullnessFactor, wouldBeNearlyFull, type FullnessState } from '@siskinbeam/server-ranking/fullnessFactor'
 import { rankServers, type RankedServer, type ServerLoad } from '@siskinbeam/server-ranking/rankServers'
 import { trackQuantile } from '@siskinbeam/server-ranking/trackQuantile'
 import { PlatformPolicy, type PlatformScenario, type RequestKind } from './platformScenario.js'
@@ -44,6 +44,14 @@
 }
 
 type Choice = RankedServer<AskedServer> | undefined
+type Choose = (kind: RequestKind, onChosen: (choice: Choice) => void) => void
+
+/** What a host has learnt of a service. */
+interface ServiceState {
+  pressure: PressureState
+  correction: CorrectionState
+  fullness: FullnessState
+}
 
 /** The daemon's constants: `chooseServer` and `dispatchRequest` of `daemon/platform-host`. */
 const acceptableSlowdown = 1.6
@@ -53,15 +61,15 @@
 const inDataCentreMilliseconds = 0.1
 
 const admittingPolicies = new Set([PlatformPolicy.Ours, PlatformPolicy.OmniscientAdmission])
-const roundsOf: Partial<Record<PlatformPolicy, number>> = { [PlatformPolicy.AskOnce]: 1, [PlatformPolicy.AskRounds]: 3, [PlatformPolicy.Ours]: 3 }
+const rounds = 3
 
 /** Creates a host. */
 export function createPlatformHost (options: PlatformHostOptions): (request: SimulatedRequest) => void {
   const { time, random, dataCentre, scenario, policy } = options
   const inFlight = new Map<PlatformServer, number>()
   const work = new Map<string, number>()
-  const states = new Map(scenario.services.map(({ name }) => [name, { pressure: createPressure(), correction: createCorrection(), fullness: createFullness() }]))
-  const stateOf = (service: string): { pressure: ReturnType<typeof createPressure>, correction: ReturnType<typeof createCorrection>, fullness: ReturnType<typeof createFullness> } => {
+  const states = new Map<string, ServiceState>(scenario.services.map(({ name }) => [name, { pressure: createPressure(), correction: createCorrection(), fullness: createFullness() }]))
+  const stateOf = (service: string): ServiceState => {
     const state = states.get(service)
     if (state === undefined) throw new Error(`service "${service}" is not part of scenario "${scenario.name}"`)
     return state
@@ -85,7 +93,7 @@
 
   const look = (server: PlatformServer): AskedServer => ({ server, load: server.readLoad(), inFlightWhenAsked: readInFlight(server) })
 
-  const askRounds = (kind: RequestKind, rounds: number, onChosen: (choice: Choice) => void): void => {
+  const ask = (mostRounds: number): Choose => (kind, onChosen) => {
     const askedBefore = new Set<PlatformServer>()
     const askRound = (round: number, answered: AskedServer[]): void => {
       const candidates = serversOf(kind.service)
@@ -102,28 +110,26 @@
         const all = [...answered, ...answers]
         const best = rank(all, kind)
         const isGood = best !== undefined && best.hasRoom && best.estimate <= acceptableSlowdown * readWork(kind)
-        if (isGood || asked.length === 0 || round + 1 >= rounds) onChosen(best)
+        if (isGood || asked.length === 0 || round + 1 >= mostRounds) onChosen(best)
         else askRound(round + 1, all)
       })
     }
     askRound(0, [])
   }
 
-  const choose: Record<PlatformPolicy, (kind: RequestKind, onChosen: (choice: Choice) => void) => void> = {
-    [PlatformPolicy.Random]: (kind, onChosen) => {
-      const servers = serversOf(kind.service)
-      const server = servers[pickIndex(random, servers.length)]
-      onChosen(server === undefined ? undefined : rank([look(server)], kind))
-    },
+  const takeKnown: Choose = (kind, onChosen) => onChosen(rank(serversOf(kind.service).map(look), kind))
+
+  const choose: Record<PlatformPolicy, Choose> = {
+    [PlatformPolicy.Random]: (kind, onChosen) => onChosen(rank(sample(random, serversOf(kind.service), 1).map(look), kind)),
     [PlatformPolicy.TwoOwn]: (kind, onChosen) => {
       const [first] = sample(random, serversOf(kind.service), 2).sort((one, other) => readInFlight(one) - readInFlight(other))
       onChosen(first === undefined ? undefined : rank([look(first)], kind))
     },
-    [PlatformPolicy.AskOnce]: (kind, onChosen) => askRounds(kind, roundsOf[policy] ?? 1, onChosen),
-    [PlatformPolicy.AskRounds]: (kind, onChosen) => askRounds(kind, roundsOf[policy] ?? 1, onChosen),
-    [PlatformPolicy.Ours]: (kind, onChosen) => askRounds(kind, roundsOf[policy] ?? 1, onChosen),
-    [PlatformPolicy.Omniscient]: (kind, onChosen) => onChosen(rank(serversOf(kind.service).map(look), kind)),
-    [PlatformPolicy.OmniscientAdmission]: (kind, onChosen) => onChosen(rank(serversOf(kind.service).map(look), kind))
+    [PlatformPolicy.AskOnce]: ask(1),
+    [PlatformPolicy.AskRounds]: ask(rounds),
+    [PlatformPolicy.Ours]: ask(rounds),
+    [PlatformPolicy.Omniscient]: takeKnown,
+    [PlatformPolicy.OmniscientAdmission]: takeKnown
   }
 
   const mayBeSent = (kind: RequestKind, choice: RankedServer<AskedServer>, elapsed: number): boolean => {
