--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -2,13 +2,13 @@
 // decision modules that the daemon uses; a choice is looked up by the policy.
 import { decideAdmission, Importance } from '@siskinbeam/admission/decideAdmission'
 import { createPressure, isOverloaded, noteChoice, type PressureState } from '@siskinbeam/admission/overloadPressure'
+import { createWorkEstimates } from '@siskinbeam/platform-host/requestPath/workEstimates'
 import type { VirtualTime } from '@siskinbeam/policy-comparison/eventQueue'
 import { sample, type Random } from '@siskinbeam/random/createRandom'
 import { chooseAsked } from '@siskinbeam/server-ranking/chooseAsked'
 import { createCorrection, noteEstimate, type CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import { createFullness, noteAnswerTime, readFullnessFactor, wouldBeNearlyFull, type FullnessState } from '@siskinbeam/server-ranking/fullnessFactor'
 import { rankServers, type RankedServer, type ServerLoad } from '@siskinbeam/server-ranking/rankServers'
-import { trackQuantile } from '@siskinbeam/server-ranking/trackQuantile'
 import { PlatformPolicy, type PlatformScenario, type RequestKind } from './platformScenario.js'
 import type { PlatformServer } from './platformServer.js'
 
@@ -56,8 +56,6 @@
 /** The daemon's constants: `chooseServer` and `dispatchRequest` of `daemon/platform-host`. */
 const acceptableSlowdown = 1.6
 const usualPace = 1.2
-const workStep = 0.08
-const assumedTargetShare = 0.4
 const inDataCentreMilliseconds = 0.1
 
 const admittingPolicies = new Set([PlatformPolicy.Ours, PlatformPolicy.OmniscientAdmission])
@@ -67,7 +65,7 @@
 export function createPlatformHost (options: PlatformHostOptions): (request: SimulatedRequest) => void {
   const { time, random, dataCentre, scenario, policy } = options
   const inFlight = new Map<PlatformServer, number>()
-  const work = new Map<string, number>()
+  const work = createWorkEstimates()
   const states = new Map<string, ServiceState>(scenario.services.map(({ name }) => [name, { pressure: createPressure(), correction: createCorrection(), fullness: createFullness() }]))
   const stateOf = (service: string): ServiceState => {
     const state = states.get(service)
@@ -77,7 +75,7 @@
   const serversOf = (service: string): PlatformServer[] => options.serversOf.get(service) ?? []
   const readInFlight = (server: PlatformServer): number => inFlight.get(server) ?? 0
   const oneWay = (server: PlatformServer): number => server.dataCentre === dataCentre ? inDataCentreMilliseconds : scenario.betweenDataCentresMilliseconds
-  const readWork = ({ name, targetLatencyMilliseconds }: RequestKind): number => work.get(name) ?? targetLatencyMilliseconds * assumedTargetShare
+  const readWork = ({ name, targetLatencyMilliseconds }: RequestKind): number => work.read(name, targetLatencyMilliseconds)
 
   const rank = (asked: AskedServer[], kind: RequestKind): Choice => rankServers(asked.map(answer => ({
     server: answer,
@@ -150,7 +148,7 @@
     const { correction, fullness } = stateOf(kind.service)
     const usual = readWork(kind)
     noteEstimate(correction, estimate, milliseconds)
-    work.set(kind.name, trackQuantile({ estimate: usual, sample: milliseconds, quantile: 0.5, step: workStep }))
+    work.note(kind.name, kind.targetLatencyMilliseconds, milliseconds)
     if (load.pace <= usualPace && load.waiting === 0) noteAnswerTime(fullness, wouldBeNearlyFull(load.running, load.slots), milliseconds / usual)
   }
 
