Share the seeds of streams and the percentile between the two models in virtual time

Found on the last reading: the model of the platform had copies of both. The file of runPlatform bears its name.

--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -56,10 +56,10 @@
 /** The daemon's constants: `chooseServer` and `dispatchRequest` of `daemon/platform-host`. */
 const acceptableSlowdown = 1.6
 const usualPace = 1.2
+const rounds = 3
+/** One way, from the platform's site files. */
 const inDataCentreMilliseconds = 0.1
-
 const admittingPolicies = new Set([PlatformPolicy.Ours, PlatformPolicy.OmniscientAdmission])
-const rounds = 3
 
 /** Creates a host. */
 export function createPlatformHost (options: PlatformHostOptions): (request: SimulatedRequest) => void {
--- a/routing/platform-comparison/src/printPlatformComparison.ts
+++ b/routing/platform-comparison/src/printPlatformComparison.ts
@@ -1,7 +1,7 @@
 // Command line of the comparison: one line for each scenario, policy and seed. Runs in virtual time, so a
 // busy machine changes nothing.
 import { parseArgs } from 'node:util'
-import { runPlatform, type PlatformRow } from './comparePlatformPolicies.js'
+import { runPlatform, type PlatformRow } from './runPlatform.js'
 import { PlatformPolicy, platformScenarios } from './platformScenario.js'
 
 const { values } = parseArgs({
--- a/routing/platform-comparison/src/comparePlatformPolicies.ts
+++ b/routing/platform-comparison/src/runPlatform.ts
@@ -1,6 +1,8 @@
-// Runs a scenario under several policies with the same seeds. Arrivals, work and paces are drawn from
+// Runs a scenario under one policy. Arrivals, work and paces are drawn from
 // streams of their own, so that every policy meets the same ones.
 import { createVirtualTime, type VirtualTime } from '@siskinbeam/policy-comparison/eventQueue'
+import { readPercentile } from '@siskinbeam/policy-comparison/readPercentile'
+import { seedStream } from '@siskinbeam/policy-comparison/seedStream'
 import { createRandom, drawExponential, drawLognormal, pickIndex } from '@siskinbeam/random/createRandom'
 import { createPlatformHost, RequestEnd, type SimulatedRequest } from './platformHost.js'
 import type { PlatformPolicy, PlatformScenario } from './platformScenario.js'
@@ -42,14 +44,14 @@
   const latencies: number[] = []
   const sums = { requests: 0, owed: 0, earned: 0, refused: 0, questions: 0 }
   const hosts = Array.from({ length: scenario.hosts }, (_, index) => createPlatformHost({
-    time, random: createRandom(streamOf(seed, 2_000 + index)), dataCentre: index % scenario.dataCentres, scenario, policy, serversOf, onQuestion: () => { if (isMeasured()) sums.questions += 1 }
+    time, random: createRandom(seedStream(seed, 2_000 + index)), dataCentre: index % scenario.dataCentres, scenario, policy, serversOf, onQuestion: () => { if (isMeasured()) sums.questions += 1 }
   }))
   const isMeasured = (): boolean => time.now >= warmUpMilliseconds && time.now <= end
 
   const startKind = (position: number): void => {
     const kind = scenario.kinds[position]
     if (kind === undefined) return
-    const random = createRandom(streamOf(seed, 1 + position))
+    const random = createRandom(seedStream(seed, 1 + position))
     const meanPause = 1_000 / (kind.perSecond * scenario.load)
     const arrive = (): void => {
       if (time.now > end) return
@@ -86,13 +88,11 @@
   }
 }
 
-const streamOf = (seed: number, stream: number): number => Math.imul(seed, 0x9e37_79b1) ^ Math.imul(stream, 0x85eb_ca6b)
-
 function createServers ({ services, dataCentres, workPace }: PlatformScenario, position: number, seed: number, time: VirtualTime): PlatformServer[] {
   const service = services[position]
   return Array.from({ length: service?.servers ?? 0 }, (_, index) => createPlatformServer({
     time,
-    random: createRandom(streamOf(seed, 1_000 * (position + 10) + index)),
+    random: createRandom(seedStream(seed, 1_000 * (position + 10) + index)),
     name: `${service?.name ?? ''}-${index}`,
     dataCentre: index % dataCentres,
     slots: service?.slots ?? 1,
@@ -100,7 +100,3 @@
     workPace
   }))
 }
-
-function readPercentile (sorted: number[], percentile: number): number {
-  return sorted[Math.min(sorted.length - 1, Math.ceil(sorted.length * percentile / 100) - 1)] ?? Number.NaN
-}
--- a/routing/platform-comparison/test/platformComparison.test.ts
+++ b/routing/platform-comparison/test/platformComparison.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test'
 import { createVirtualTime } from '@siskinbeam/policy-comparison/eventQueue'
 import { createRandom } from '@siskinbeam/random/createRandom'
-import { runPlatform, type PlatformRow } from '../src/comparePlatformPolicies.js'
+import { runPlatform, type PlatformRow } from '../src/runPlatform.js'
 import { PlatformPolicy, platformScenarios, type PlatformScenario } from '../src/platformScenario.js'
 import { createPlatformServer, WorkPace } from '../src/platformServer.js'
 
--- a/routing/policy-comparison/src/comparePolicies.ts
+++ b/routing/policy-comparison/src/comparePolicies.ts
@@ -3,7 +3,9 @@
 import { createRandom, drawExponential, drawLognormal, pickIndex } from '@siskinbeam/random/createRandom'
 import type { MeasuringBudget } from '@siskinbeam/measuring-budget/takeMeasuringBudget'
 import { createVirtualTime } from './eventQueue.js'
+import { readPercentile } from './readPercentile.js'
 import { entryHosts, meanWorkMilliseconds, stragglerFactor, workSigma, type Scenario, type Variant } from './scenario.js'
+import { seedStream } from './seedStream.js'
 import { createSimulatedHost, type SimulatedHost, type SimulationCounts } from './simulatedHost.js'
 import { createSimulatedServer, meanSpeed, type SimulatedServer } from './simulatedServer.js'
 
@@ -36,7 +38,7 @@
   const assigned = new Map<string, number>()
   const hosts = Array.from({ length: entryHosts }, (_, index) => createSimulatedHost({
     time,
-    random: createRandom(streamOf(seed, 2_000 + index)),
+    random: createRandom(seedStream(seed, 2_000 + index)),
     name: `entry-${index}`,
     scenario,
     variant,
@@ -52,14 +54,12 @@
   return { ...counts, requests: requests(), latencies: Float64Array.from(latencies).sort() }
 }
 
-const streamOf = (seed: number, stream: number): number => Math.imul(seed, 0x9e37_79b1) ^ Math.imul(stream, 0x85eb_ca6b)
-
 function createServers (scenario: Scenario, seed: number, time: ReturnType<typeof createVirtualTime>): Map<string, SimulatedServer> {
   return new Map(Array.from({ length: scenario.servers }, (_, index) => {
     const isStraggler = scenario.stragglerEvery > 0 && index % scenario.stragglerEvery === 0 && index + scenario.stragglerEvery <= scenario.servers
     const server = createSimulatedServer({
       time,
-      random: createRandom(streamOf(seed, 1_000 + index)),
+      random: createRandom(seedStream(seed, 1_000 + index)),
       name: `server-${index}`,
       slots: scenario.slots,
       queueLimit: scenario.queueLimit,
@@ -86,7 +86,7 @@
 }
 
 function startArrivals ({ hosts, scenario, seed, end, time }: StartArrivalsOptions): () => number {
-  const random = createRandom(streamOf(seed, 1))
+  const random = createRandom(seedStream(seed, 1))
   const meanPause = meanWorkMilliseconds / (scenario.load * scenario.servers * scenario.slots * meanSpeed)
   let requests = 0
   const arrive = (): void => {
@@ -137,15 +137,11 @@
       failed: sum('failed'),
       ejections: sum('ejections'),
       mean: latencies.reduce((total, latency) => total + latency, 0) / latencies.length,
-      p50: percentile(latencies, 50),
-      p90: percentile(latencies, 90),
-      p99: percentile(latencies, 99),
-      p999: percentile(latencies, 99.9),
-      p99OfSeeds: runs.map(run => percentile(run.latencies, 99))
+      p50: readPercentile(latencies, 50),
+      p90: readPercentile(latencies, 90),
+      p99: readPercentile(latencies, 99),
+      p999: readPercentile(latencies, 99.9),
+      p99OfSeeds: runs.map(run => readPercentile(run.latencies, 99))
     }
   })
 }
-
-function percentile (sorted: Float64Array, at: number): number {
-  return sorted[Math.min(sorted.length - 1, Math.ceil(sorted.length * at / 100) - 1)] ?? Number.NaN
-}
