Break off streamed responses that are cut or endless, and discard unused ones

Cause: a response of more than 256 KiB is handed over before it has ended. From then on nothing bounded it: (1) one without a length whose connection was reset reached the guest as a complete success; (2) a body without end was streamed past the guest's deadline and the route's timeout; (3) where the response was not forwarded (5xx that is retried, no signature, hedge that lost), nobody closed it, so that the socket and the server's work stayed. A status such as 099 made writeHead throw after the exchange was marked as ended, so that the guest got no response.

Change: the remaining body has an owner that reads or discards it; the stream ends at the deadline with a reset; its end is checked like that of a small response, also after a socket error; statuses outside of 200 to 599 count as broken.

--- a/core/stream-end/src/watchStreamEnd.ts
+++ b/core/stream-end/src/watchStreamEnd.ts
@@ -15,6 +15,8 @@
   socket.prependListener('end', () => {
     closedWithoutReset.set(socket, new Promise(resolve => { socket.write('\r\n', error => resolve(error === null || error === undefined)) }))
   })
+  // Node.js completes a response without a length also when its socket fails.
+  socket.prependListener('error', () => { closedWithoutReset.set(socket, Promise.resolve(false)) })
 }
 
 /**
--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -14,7 +14,7 @@
 import type { Filter, GuestExchange } from './guestExchange.js'
 import { refuse } from './refuse.js'
 import { relayResponse } from './relayResponse.js'
-import { SendOutcome, sendToServer, type SendResult } from './sendToServer.js'
+import { discardResponse, SendOutcome, sendToServer, type SendResult } from './sendToServer.js'
 import { raceHedge, scheduleHedge, type ServerResult } from './hedgeRequest.js'
 
 interface ForwardedRequest {
@@ -100,7 +100,10 @@
   },
   [SendOutcome.Failed]: (forwarded, endpoint, { received }) => {
     forwarded.mayHaveRun = true
-    if (canRepeat(forwarded)) return attemptSend(forwarded)
+    if (canRepeat(forwarded)) {
+      received.rest?.discard()
+      return attemptSend(forwarded)
+    }
     relayResponse(forwarded.exchange, received, endpoint.server.id)
   },
   [SendOutcome.NotExecuted]: (forwarded, endpoint, { reason }) => {
@@ -151,8 +154,11 @@
   })
   const winner = await raceHedge(first, hedge)
   hedge.stop()
-  // Cancels the send that lost the race.
+  // Cancels the send that lost the race, or discards the response that it already got.
   forwarded.exchange.cancelSends.forEach(cancel => cancel())
+  ;[first, hedge.promise].forEach(send => {
+    send.then(sent => { if (sent !== undefined && sent !== winner) discardResponse(sent.result) }, () => {})
+  })
   return winner
 }
 
--- a/daemon/platform-host/src/requestPath/relayResponse.ts
+++ b/daemon/platform-host/src/requestPath/relayResponse.ts
@@ -1,6 +1,7 @@
-// Forwards a server's response to the guest with its status, end-to-end headers and body unchanged. If the server cuts
-// a streamed response off, the guest's connection is closed as well, so that it does not look complete.
-import type { ReceivedResponse } from '../servers/serverConnection.js'
+// Forwards a server's response to the guest with its status, end-to-end headers and body unchanged. If a streamed
+// response is cut off or lasts beyond the deadline, the guest's connection is reset, so that it does not look complete.
+import { setTimeoutAfterPoll } from '@siskinbeam/processes/setTimeoutAfterPoll'
+import type { ReceivedResponse, RemainingBody } from '../servers/serverConnection.js'
 import { selectEndToEndHeaders } from './endToEndHeaders.js'
 import type { GuestExchange } from './guestExchange.js'
 
@@ -12,7 +13,7 @@
 export function relayResponse (exchange: GuestExchange, received: ReceivedResponse, server: string): void {
   const { response, host } = exchange
   if (exchange.finished) {
-    received.rest?.destroy()
+    received.rest?.discard()
     return
   }
   exchange.finished = true
@@ -44,9 +45,29 @@
     return
   }
   response.write(received.body)
-  const { rest } = received
-  rest.on('error', () => response.destroy())
-  rest.on('aborted', () => response.destroy())
-  response.on('close', () => rest.destroy())
-  rest.pipe(response)
+  streamRest(exchange, received.rest)
+}
+
+function streamRest ({ response, requestId, host, deadlineAt }: GuestExchange, rest: RemainingBody): void {
+  const breakOff = (reason: string): void => {
+    if (response.destroyed) return
+    host.metrics.count('answers_broken_off_total')
+    host.logger.warn('answer broken off', { request: requestId, reason })
+    // A guest that reads until the connection closes would take a regular close for the end of the response.
+    response.socket?.resetAndDestroy()
+  }
+  const timer = setTimeoutAfterPoll(() => breakOff('deadline exceeded'), Math.max(0, deadlineAt - host.now()))
+  response.on('close', () => {
+    clearTimeout(timer)
+    rest.discard()
+  })
+  rest.stream.on('error', error => breakOff(error.message))
+  rest.stream.on('aborted', () => breakOff('response ended prematurely'))
+  rest.stream.on('end', () => {
+    rest.isComplete().then(complete => {
+      if (complete) response.end()
+      else breakOff('connection was reset during a response without a content length')
+    }, (error: unknown) => breakOff(String(error)))
+  })
+  rest.stream.pipe(response, { end: false })
 }
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -22,15 +22,21 @@
   Cancelled = 'cancelled'
 }
 
-export type SendResult =
-  | { outcome: SendOutcome.Responded | SendOutcome.Failed, received: ReceivedResponse }
-  | { outcome: Exclude<SendOutcome, SendOutcome.Responded | SendOutcome.Failed>, reason: string }
+type OutcomeWithResponse = SendOutcome.Responded | SendOutcome.Failed
+
+/** One member per outcome, so that a handler of an outcome gets the fields of its result. */
+export type SendResult = {
+  [Outcome in SendOutcome]: { outcome: Outcome } & (Outcome extends OutcomeWithResponse ? { received: ReceivedResponse } : { reason: string })
+}[SendOutcome]
 
 /** The server is given a deadline earlier by this margin, so that its own timeout response arrives in time. */
 const deadlineMarginMilliseconds = 15
 const droppedHeaders = new Set([...reservedRequestHeaders, 'content-length'])
 /** Statuses that guarantee "not run" to the guest. They are not forwarded unless the server declares that it did not run the request. */
 const notRunStatuses = new Set([408, 421, 429, 503])
+/** Node.js parses any status of three digits, but refuses to write one outside of the range of HTTP. */
+const minimumFinalStatus = 200
+const maximumStatus = 599
 
 const outcomesWithoutResponse = {
   [ExchangeOutcome.NotSent]: SendOutcome.NotSent,
@@ -74,14 +80,29 @@
   return sent
 }
 
+/** Classifies an exchange. A response that is not part of the result is discarded. */
 function classify (result: ExchangeResult): SendResult {
   if (result.outcome !== ExchangeOutcome.Responded) return { outcome: outcomesWithoutResponse[result.outcome], reason: result.reason }
   const { received } = result
-  const metadata = readResponseMetadata(received.status, received.headers)
-  if (metadata.notExecuted && received.status !== 400) return { outcome: SendOutcome.NotExecuted, reason: `status ${received.status}` }
-  if (notRunStatuses.has(received.status)) return { outcome: SendOutcome.Broken, reason: `status ${received.status} without a declaration that the request did not run` }
-  if (received.status < 300 && !metadata.signed) return { outcome: SendOutcome.Broken, reason: 'successful response without a signature' }
-  return { outcome: received.status >= 500 ? SendOutcome.Failed : SendOutcome.Responded, received }
+  const rejection = findRejection(received)
+  if (rejection === undefined) return { outcome: received.status >= 500 ? SendOutcome.Failed : SendOutcome.Responded, received }
+  received.rest?.discard()
+  return rejection
+}
+
+/** Returns why a response cannot be forwarded, or undefined if it can. */
+function findRejection ({ status, headers }: ReceivedResponse): SendResult | undefined {
+  const { notExecuted, signed } = readResponseMetadata(status, headers)
+  if (notExecuted && status !== 400) return { outcome: SendOutcome.NotExecuted, reason: `status ${status}` }
+  if (status < minimumFinalStatus || status > maximumStatus) return { outcome: SendOutcome.Broken, reason: `invalid status ${status}` }
+  if (notRunStatuses.has(status)) return { outcome: SendOutcome.Broken, reason: `status ${status} without a declaration that the request did not run` }
+  if (status < 300 && !signed) return { outcome: SendOutcome.Broken, reason: 'successful response without a signature' }
+  return undefined
+}
+
+/** Closes the connection of a response that is not forwarded, so that the server stops sending it. */
+export function discardResponse (sent: SendResult): void {
+  if ('received' in sent) sent.received.rest?.discard()
 }
 
 const failedOutcomes = new Set([SendOutcome.Failed, SendOutcome.NotExecuted, SendOutcome.Broken, SendOutcome.TimedOut])
--- a/daemon/platform-host/src/servers/serverConnection.ts
+++ b/daemon/platform-host/src/servers/serverConnection.ts
@@ -24,8 +24,17 @@
   headers: IncomingHttpHeaders
   rawHeaders: string[]
   body: Buffer
-  /** Stream of the remaining body if the response is too large to be buffered. */
-  rest: IncomingMessage | undefined
+  /** The remaining body if the response is too large to be buffered. */
+  rest: RemainingBody | undefined
+}
+
+/** The part of a large response's body that has not been read yet. It must be read to its end or discarded. */
+export interface RemainingBody {
+  stream: IncomingMessage
+  /** After the end of the stream: whether the body is complete, or the connection was reset. */
+  isComplete: () => Promise<boolean>
+  /** Closes the connection, so that the server stops sending. Does nothing after the end of the stream. */
+  discard: () => void
 }
 
 export enum ExchangeOutcome {
@@ -124,7 +133,7 @@
       }
       const chunks: Buffer[] = []
       let bytes = 0
-      const createResult = (rest: IncomingMessage | undefined): ExchangeResult => ({
+      const createResult = (rest: RemainingBody | undefined): ExchangeResult => ({
         outcome: ExchangeOutcome.Responded,
         received: { status, headers: response.headers, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), rest }
       })
@@ -137,7 +146,11 @@
         // The rest is streamed to the guest, and the connection is not reused.
         closed = true
         options.onClosed(connection)
-        settle(createResult(response), true)
+        settle(createResult({
+          stream: response,
+          isComplete: () => isCompleteResponse(response, currentSocket as Socket),
+          discard: () => response.destroy()
+        }), true)
       }
       response.on('data', bufferChunk)
       response.on('error', fail)
