--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -5,7 +5,7 @@
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { FurtherSendPurpose } from '@siskinbeam/retry-share/retryShare'
 import { updateCorrection } from '@siskinbeam/server-ranking/estimateCorrection'
-import { recordResponseTime, wouldBeNearSaturation } from '@siskinbeam/server-ranking/saturationSlowdown'
+import { computeSaturationSlowdown, recordResponseTime, wouldBeNearSaturation, wouldExceedProductiveLoad } from '@siskinbeam/server-ranking/saturationSlowdown'
 import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
 import type { Route } from '@siskinbeam/route-table/configuration'
 import type { ProbedServer } from '../servers/probeServers.js'
@@ -63,10 +63,11 @@
     return
   }
   const overload = host.overloadStateOf(exchange.service)
-  recordSelection(overload, wouldBeNearSaturation(choice.server.load.running + choice.server.load.waiting, choice.server.load.slots))
+  const { load, probedAt } = choice.server
+  const occupied = load.running + load.waiting
+  recordSelection(overload, wouldBeNearSaturation(occupied, load.slots))
   const hasSpareCapacity = choice.hasFreeSlot && !isOverloaded(overload)
   const estimatedLatencyMilliseconds = choice.estimate * host.correctionStateOf(exchange.service).factor
-  const { load, probedAt } = choice.server
   exchange.choiceLogFields = {
     chosen: choice.server.endpoint.server.id,
     load: `${load.running}/${load.waiting}/${load.slots}`,
@@ -81,6 +82,7 @@
     targetLatencyMilliseconds: route.targetLatencyMilliseconds,
     remainingMilliseconds,
     priority: classifyPriority(forwarded),
+    exceedsProductiveLoad: wouldExceedProductiveLoad(occupied, load.slots, computeSaturationSlowdown(host.saturationStateOf(exchange.service))),
     hasSpareCapacity
   })
   if (!admission.admitted) {
--- a/limits/admission/src/decideAdmission.ts
+++ b/limits/admission/src/decideAdmission.ts
@@ -1,7 +1,8 @@
 // Admission control by expected latency. A request that would exceed its target latency occupies a slot that
 // could serve another request in time, so it is refused at once with a retry-after time. Requests with a higher
 // priority get a larger latency allowance. A request repeated after a refusal is already late, so it gets the
-// smallest allowance and cannot displace one that can be completed in time. No request is refused while there is
+// smallest allowance and cannot displace one that can be completed in time. A request with a lower priority leaves the
+// slots beyond a server's most productive load to requests with a higher one, which share the server. No request is refused while there is
 // spare capacity, because an overestimated latency would otherwise never be corrected by new measurements.
 
 export enum RequestPriority {
@@ -22,6 +23,8 @@
   /** Milliseconds until the deadline of the response. */
   remainingMilliseconds: number
   priority: RequestPriority
+  /** Whether the request would bring the best server beyond the load at which it completes the most work. */
+  exceedsProductiveLoad: boolean
   /** Whether a server has a free slot and the service is not overloaded. */
   hasSpareCapacity: boolean
 }
@@ -42,11 +45,12 @@
 const maximumRetryAfterMilliseconds = 700
 
 /** Decides whether a request is admitted, and after how many milliseconds a refused one may be repeated. */
-export function decideAdmission ({ estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, priority, hasSpareCapacity }: DecideAdmissionOptions): AdmissionDecision {
+export function decideAdmission ({ estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, priority, exceedsProductiveLoad, hasSpareCapacity }: DecideAdmissionOptions): AdmissionDecision {
   const limit = Math.min(remainingMilliseconds, targetLatencyFactors[priority] * targetLatencyMilliseconds - elapsedMilliseconds)
   const excess = estimatedLatencyMilliseconds - limit
+  const leavesRoom = priority === RequestPriority.Highest || !exceedsProductiveLoad
   return {
-    admitted: hasSpareCapacity || excess <= 0,
+    admitted: hasSpareCapacity || (excess <= 0 && leavesRoom),
     retryAfterMilliseconds: Math.min(maximumRetryAfterMilliseconds, minimumRetryAfterMilliseconds + Math.max(0, excess))
   }
 }
--- a/limits/admission/test/decideAdmission.test.ts
+++ b/limits/admission/test/decideAdmission.test.ts
@@ -6,7 +6,7 @@
 import { decideAdmission, RequestPriority, type DecideAdmissionOptions } from '../src/decideAdmission.js'
 
 const seed = 20_261_204
-const options: DecideAdmissionOptions = { estimatedLatencyMilliseconds: 200, elapsedMilliseconds: 5, targetLatencyMilliseconds: 400, remainingMilliseconds: 990, priority: RequestPriority.Lower, hasSpareCapacity: false }
+const options: DecideAdmissionOptions = { estimatedLatencyMilliseconds: 200, elapsedMilliseconds: 5, targetLatencyMilliseconds: 400, remainingMilliseconds: 990, priority: RequestPriority.Lower, exceedsProductiveLoad: false, hasSpareCapacity: false }
 
 test('a request that would be completed in time is admitted', () => {
   assert.equal(decideAdmission(options).admitted, true)
@@ -24,8 +24,8 @@
 
 test(`a request with the highest priority is admitted whenever one with a lower priority is (seed ${seed})`, () => {
   const time = fc.nat({ max: 3_000 })
-  fc.assert(fc.property(time, time, time, time, (estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds) => {
-    const common = { estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, hasSpareCapacity: false }
+  fc.assert(fc.property(time, time, time, time, fc.boolean(), (estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, exceedsProductiveLoad) => {
+    const common = { estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, exceedsProductiveLoad, hasSpareCapacity: false }
     if (decideAdmission({ ...common, priority: RequestPriority.Lower }).admitted) assert.equal(decideAdmission({ ...common, priority: RequestPriority.Highest }).admitted, true)
   }), { seed, numRuns: 1_000 })
 })
@@ -40,3 +40,9 @@
 test('no request is refused while there is spare capacity, so that new measurements correct an overestimated latency', () => {
   Object.values(RequestPriority).forEach(priority => assert.equal(decideAdmission({ ...options, estimatedLatencyMilliseconds: 5_000, priority, hasSpareCapacity: true }).admitted, true))
 })
+
+test('slots beyond the most productive load of a shared server are left to the requests with the highest priority', () => {
+  const shared = { ...options, exceedsProductiveLoad: true }
+  assert.equal(decideAdmission({ ...shared, priority: RequestPriority.Lower }).admitted, false)
+  assert.equal(decideAdmission({ ...shared, priority: RequestPriority.Highest }).admitted, true)
+})
--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -7,7 +7,7 @@
 import { sample, type Random } from '@siskinbeam/random/createRandom'
 import { selectServersToProbe } from '@siskinbeam/server-ranking/selectServersToProbe'
 import { createCorrectionState, updateCorrection, type CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
-import { createSaturationState, recordResponseTime, computeSaturationSlowdown, wouldBeNearSaturation, type SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
+import { createSaturationState, recordResponseTime, computeSaturationSlowdown, wouldBeNearSaturation, wouldExceedProductiveLoad, type SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
 import { rankServers, type RankedServer, type ProbedLoad } from '@siskinbeam/server-ranking/rankServers'
 import { PlatformPolicy, type PlatformScenario, type RequestKind } from './platformScenario.js'
 import type { PlatformServer } from './platformServer.js'
@@ -131,7 +131,7 @@
   }
 
   const isAdmitted = (kind: RequestKind, choice: RankedServer<ProbedPlatformServer>, elapsedMilliseconds: number): boolean => {
-    const { overload, correction } = stateOf(kind.service)
+    const { overload, correction, saturation } = stateOf(kind.service)
     const { load } = choice.server
     recordSelection(overload, wouldBeNearSaturation(load.running + load.waiting, load.slots))
     return !policiesWithAdmission.has(policy) || decideAdmission({
@@ -139,6 +139,7 @@
       elapsedMilliseconds,
       targetLatencyMilliseconds: kind.targetLatencyMilliseconds,
       remainingMilliseconds: kind.deadlineMilliseconds - elapsedMilliseconds,
+      exceedsProductiveLoad: wouldExceedProductiveLoad(load.running + load.waiting, load.slots, computeSaturationSlowdown(saturation)),
       priority: kind.isLessImportant ? RequestPriority.Lower : RequestPriority.Highest,
       hasSpareCapacity: choice.hasFreeSlot && !isOverloaded(overload)
     }).admitted
--- a/routing/platform-comparison/src/platformScenario.ts
+++ b/routing/platform-comparison/src/platformScenario.ts
@@ -33,6 +33,8 @@
   /** Multiplier of the request rates of all kinds. */
   load: number
   workPace: SlowdownModel
+  /** How much longer work takes that starts when nearly all slots of its server are in use. */
+  saturationSlowdown: number
   services: ScenarioService[]
   kinds: RequestKind[]
 }
@@ -62,6 +64,7 @@
   betweenDataCentresMilliseconds: 0.9,
   load: 1,
   workPace: SlowdownModel.FixedAtStart,
+  saturationSlowdown: 1,
   services: [
     { name: 'desk', servers: 24, slots: 3, queueLimit: 12 },
     { name: 'issuer', servers: 6, slots: 3, queueLimit: 12 }
@@ -80,6 +83,7 @@
   betweenDataCentresMilliseconds: 1.4,
   load: 1,
   workPace: SlowdownModel.FixedAtStart,
+  saturationSlowdown: 1,
   services: [
     { name: 'roster', servers: 28, slots: 4, queueLimit: 12 },
     { name: 'ledger', servers: 8, slots: 4, queueLimit: 12 }
@@ -91,9 +95,26 @@
   ]
 }
 
+/** Two kinds of requests share the servers of a service: an urgent one with a tight target, and a plain one with a loose target. */
+const sharedQueue: PlatformScenario = {
+  name: 'shared-queue',
+  hosts: 20,
+  dataCentres: 3,
+  betweenDataCentresMilliseconds: 0.9,
+  load: 1,
+  workPace: SlowdownModel.FixedAtStart,
+  saturationSlowdown: 1.7,
+  services: [{ name: 'records', servers: 10, slots: 6, queueLimit: 12 }],
+  kinds: [
+    { name: 'lookup', service: 'records', perSecond: 165, workMilliseconds: 220, targetLatencyMilliseconds: 600, deadlineMilliseconds: 1_500, worth: 1, isLessImportant: true },
+    { name: 'closing', service: 'records', perSecond: 60, workMilliseconds: 150, targetLatencyMilliseconds: 400, deadlineMilliseconds: 1_200, worth: 3, isLessImportant: false }
+  ]
+}
+
 export const platformScenarios: Record<string, PlatformScenario> = {
   trust,
   cascadia,
   'trust-overload': { ...trust, name: 'trust-overload', load: 3.5 },
-  'cascadia-overload': { ...cascadia, name: 'cascadia-overload', load: 3.5 }
+  'cascadia-overload': { ...cascadia, name: 'cascadia-overload', load: 3.5 },
+  'shared-queue': sharedQueue
 }
--- a/routing/platform-comparison/src/platformServer.ts
+++ b/routing/platform-comparison/src/platformServer.ts
@@ -10,6 +10,8 @@
 const slowRatio = 0.25
 const slowServerSlowdown = 7
 const slowdownPeriodMilliseconds = 500
+/** Slot utilization above which the load slows a server down. */
+const nearSaturationUtilization = 0.8
 
 export interface CreatePlatformServerOptions {
   time: VirtualTime
@@ -19,6 +21,8 @@
   slots: number
   queueLimit: number
   slowdownModel: SlowdownModel
+  /** How much longer work takes that starts when nearly all slots are in use; 1 if the load does not matter. */
+  saturationSlowdown: number
 }
 
 /** Whether work keeps the slowdown at which it starts or follows the changes of its server. */
@@ -41,7 +45,7 @@
 }
 
 /** Creates an idle server. */
-export function createPlatformServer ({ time, random, name, dataCentre, slots, queueLimit, slowdownModel }: CreatePlatformServerOptions): PlatformServer {
+export function createPlatformServer ({ time, random, name, dataCentre, slots, queueLimit, slowdownModel, saturationSlowdown }: CreatePlatformServerOptions): PlatformServer {
   const readSlowdown = createSlowdownSchedule(random)
   const waiting: QueuedWork[] = []
   let running = 0
@@ -59,7 +63,8 @@
   }
   const start = ({ serviceTimeMilliseconds, onDone }: QueuedWork): void => {
     running += 1
-    scheduleCompletion[slowdownModel](serviceTimeMilliseconds, () => {
+    const isNearlySaturated = running > nearSaturationUtilization * slots
+    scheduleCompletion[slowdownModel](serviceTimeMilliseconds * (isNearlySaturated ? saturationSlowdown : 1), () => {
       running -= 1
       const next = waiting.shift()
       if (next !== undefined) start(next)
--- a/routing/platform-comparison/src/runPlatform.ts
+++ b/routing/platform-comparison/src/runPlatform.ts
@@ -28,6 +28,8 @@
   requests: number
   /** Earned credit as a ratio of the possible credit, 0 to 1. */
   credit: number
+  /** Credit of each kind of request as a ratio of its possible credit. */
+  creditByKind: Record<string, number>
   /** Ratio of the requests with a response by their deadline, 0 to 1. */
   served: number
   /** Ratio of the requests that hosts refused, 0 to 1. */
@@ -44,6 +46,7 @@
   const serversOf = new Map(scenario.services.map((service, position) => [service.name, createServers(scenario, position, seed, time)]))
   const latencies: number[] = []
   const sums = { requests: 0, possibleCredit: 0, earnedCredit: 0, refused: 0, probes: 0 }
+  const sumsByKind = new Map(scenario.kinds.map(({ name }) => [name, { possible: 0, earned: 0 }]))
   const hosts = Array.from({ length: scenario.hosts }, (_, index) => createPlatformHost({
     time, random: createRandom(deriveStreamSeed(seed, 2_000 + index)), dataCentre: index % scenario.dataCentres, scenario, policy, serversOf, onProbe: () => { if (isWithinMeasurement()) sums.probes += 1 }
   }))
@@ -62,10 +65,14 @@
         if (!isCounted) return
         sums.requests += 1
         sums.possibleCredit += kind.worth
+        const ofKind = sumsByKind.get(kind.name) ?? { possible: 0, earned: 0 }
+        ofKind.possible += kind.worth
         if (outcome === RequestOutcome.Refused) sums.refused += 1
         if (outcome !== RequestOutcome.Responded) return
         latencies.push(time.now - arrivedAt)
-        sums.earnedCredit += time.now - arrivedAt <= kind.targetLatencyMilliseconds ? kind.worth : kind.worth * lateCreditRatio
+        const earned = time.now - arrivedAt <= kind.targetLatencyMilliseconds ? kind.worth : kind.worth * lateCreditRatio
+        sums.earnedCredit += earned
+        ofKind.earned += earned
       }
       const request: SimulatedRequest = { kind, serviceTimeMilliseconds: drawLognormal(random, kind.workMilliseconds, serviceTimeSigma), onEnd: recordOutcome }
       hosts[pickIndex(random, hosts.length)]?.(request)
@@ -81,6 +88,7 @@
     policy,
     requests: sums.requests,
     credit: sums.earnedCredit / sums.possibleCredit,
+    creditByKind: Object.fromEntries([...sumsByKind].map(([name, { possible, earned }]) => [name, earned / possible])),
     served: latencies.length / sums.requests,
     refused: sums.refused / sums.requests,
     p50Milliseconds: computePercentile(sorted, 50),
@@ -89,7 +97,7 @@
   }
 }
 
-function createServers ({ services, dataCentres, workPace: slowdownModel }: PlatformScenario, position: number, seed: number, time: VirtualTime): PlatformServer[] {
+function createServers ({ services, dataCentres, workPace: slowdownModel, saturationSlowdown }: PlatformScenario, position: number, seed: number, time: VirtualTime): PlatformServer[] {
   const service = services[position]
   return Array.from({ length: service?.servers ?? 0 }, (_, index) => createPlatformServer({
     time,
@@ -98,6 +106,7 @@
     dataCentre: index % dataCentres,
     slots: service?.slots ?? 1,
     queueLimit: service?.queueLimit ?? 0,
-    slowdownModel
+    slowdownModel,
+    saturationSlowdown
   }))
 }
--- a/routing/platform-comparison/test/platformComparison.test.ts
+++ b/routing/platform-comparison/test/platformComparison.test.ts
@@ -36,7 +36,7 @@
 test('work keeps its slowdown or follows the server, depending on the scenario, and a full queue sheds requests', () => {
   const finishTimes = (slowdownModel: SlowdownModel): number[] => Array.from({ length: 40 }, (_, index) => {
     const time = createVirtualTime()
-    const server = createPlatformServer({ time, random: createRandom(index), name: 'desk', dataCentre: 0, slots: 1, queueLimit: 1, slowdownModel })
+    const server = createPlatformServer({ time, random: createRandom(index), name: 'desk', dataCentre: 0, slots: 1, queueLimit: 1, slowdownModel, saturationSlowdown: 1 })
     let finishedAt = 0
     assert.ok(server.accept(1_000, () => { finishedAt = time.now }))
     assert.ok(server.accept(1, () => {}))
@@ -47,3 +47,12 @@
   assert.deepEqual([...new Set(finishTimes(SlowdownModel.FixedAtStart))].sort((first, second) => first - second), [1_000, 7_000])
   assert.ok(new Set(finishTimes(SlowdownModel.Varying)).size > 10)
 })
+
+// Pattern: a shared queue with a tight and a loose target. Each kind was judged by its own target only, so that the plain
+// requests with the loose target filled the servers, and a third of the credit of the urgent ones was lost. The urgent kind
+// needs less than a quarter of the slots.
+test(`on overloaded servers that two kinds share, the urgent kind keeps its credit (seed ${seed})`, () => {
+  const { credit, creditByKind } = run('shared-queue', PlatformPolicy.Ours)
+  assert.ok((creditByKind.closing ?? 0) >= 0.8, JSON.stringify(creditByKind))
+  assert.ok(credit > run('shared-queue', PlatformPolicy.ProbeRounds).credit)
+})
