Load the first view from the store when a guest waits and no seed has answered

Ruled out: the time of a start itself (0.1 s), and the store, which answers in 4 ms.

Change: a host that gets a request before its first view reads the two tables of the store once, if no host has sent the view within 40 ms of its start. Hosts without guests make no call.

Result: test with a seed that never answers, test that a host without guests makes no call.

--- a/daemon/platform-host/src/dataCentre/initialView.ts
+++ b/daemon/platform-host/src/dataCentre/initialView.ts
@@ -13,8 +13,8 @@
   onceLoaded: (milliseconds: number, callBack: () => void) => void
 }
 
-/** Creates the tracker of a view. */
-export function createInitialView (view: ObservedView): InitialView {
+/** Creates the tracker of a view. `onWaiting` is called for each caller that has to wait. */
+export function createInitialView (view: ObservedView, onWaiting: () => void): InitialView {
   const waiting = new Set<() => void>()
   const isLoaded = (): boolean => view.routes() !== undefined && view.registry.version > 0
   view.onChange(() => { if (isLoaded()) [...waiting].forEach(resume => resume()) })
@@ -28,6 +28,7 @@
       }
       const timer = setTimeout(resume, milliseconds)
       waiting.add(resume)
+      onWaiting()
     }
   }
 }
--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -20,6 +20,8 @@
   /** Time since which calls have been failing; undefined if the latest one succeeded. */
   failingSince: () => number | undefined
   start: () => void
+  /** Reads the tables that have not been read yet once, without watching them. */
+  load: () => void
   stop: () => void
 }
 
@@ -101,6 +103,12 @@
     watch.confirmedAt = now()
   }
 
+  const loadTable = async (watch: TableWatch): Promise<void> => {
+    const reply = await store.readTable(watch.table)
+    // The watch may have read the table in the meantime.
+    if (watch.version === 0) handleReply(watch, reply, true)
+  }
+
   function * runWatch (watch: TableWatch): ProcessBody {
     let failures = 0
     for (;;) {
@@ -162,6 +170,12 @@
         superviseProcess({ name: 'apply held removals', logger, body: applyHeldRemovals })
       ]
     },
+    load: () => {
+      logger.info('view loaded on demand', { milliseconds: Math.round(now() - host.startedAt) })
+      watches.filter(({ version }) => version === 0).forEach(watch => {
+        loadTable(watch).catch((error: unknown) => logger.warn('loading a table failed', { table: watch.table, reason: String(error) }))
+      })
+    },
     confirmedAt: () => Math.min(...watches.map(({ confirmedAt }) => confirmedAt)),
     failingSince: () => {
       const times = [...watches.map(({ failingSince }) => failingSince), connectionFailingSince].filter(time => time !== undefined)
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -20,6 +20,7 @@
 import { createInitialView } from './dataCentre/initialView.js'
 import { followSource } from './dataCentre/followSource.js'
 import { joinDataCentre } from './dataCentre/joinDataCentre.js'
+import { createLoadOnDemand } from './dataCentre/loadOnDemand.js'
 import { createMemberList } from './dataCentre/memberList.js'
 import type { Member } from './dataCentre/peerMessages.js'
 import { createPeerServer } from './dataCentre/peerServer.js'
@@ -82,7 +83,8 @@
     onConnectionOpened: () => metrics.count('server_connections_total')
   })
   const view = createView({ logger, metrics, now, onServers: (registry, ids) => endpoints.applyChanges(registry, ids) })
-  const initialView = createInitialView(view)
+  const loadOnDemand = createLoadOnDemand({ isLoaded: () => initialView.isLoaded(), readAge: () => now() - host.startedAt, loadFromStore: () => storeWatch.load() })
+  const initialView = createInitialView(view, loadOnDemand)
   const host: PlatformHost = {
     settings,
     logger,
--- a/daemon/platform-host/test/awaitInitialView.test.ts
+++ b/daemon/platform-host/test/awaitInitialView.test.ts
@@ -17,7 +17,7 @@
   const listeners: Array<() => void> = []
   const registry: RegistryState = createRegistry()
   let loaded = false
-  const initialView = createInitialView({ routes: () => loaded ? {} as never : undefined, registry, onChange: listener => { listeners.push(listener) } })
+  const initialView = createInitialView({ routes: () => loaded ? {} as never : undefined, registry, onChange: listener => { listeners.push(listener) } }, () => {})
   return {
     exchange: { host: { initialView, now: () => hostAgeMilliseconds, startedAt: 0, metrics: { count: () => {} } }, guestTimeoutMilliseconds: 2_500, finished: false } as unknown as GuestExchange,
     load: () => {
--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -1,6 +1,7 @@
 // Guards against hosts whose view returns to an older version, shows a drain too late, loses servers after a store
 // outage, or is no longer updated after the host that watches the store for them has ended.
 import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
 import { test } from 'node:test'
 import { serveRowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
 import { respondNormally, sendRequest, describeConfiguration, describeEntry, pause, startPlatform, startServer, waitUntil, type ScriptedServer, type TestPlatform } from './support/startPlatform.js'
@@ -185,3 +186,23 @@
   assert.equal((await response).status, 200)
   assert.equal(servers.reduce((sum, { received }) => sum + received.length, 0), 1)
 }))
+
+// Pattern: all hosts lose power, and the seeds are the last to return. Each host waited for a seed, and its guests were refused.
+test('a host whose seeds do not respond serves the guests that wait for it from the store', () => withHosts(1, 1, async platform => {
+  const unresponsiveSeed = createServer(() => {})
+  const port = await new Promise<number>(resolve => unresponsiveSeed.listen(0, '127.0.0.1', () => resolve((unresponsiveSeed.address() as { port: number }).port)))
+  try {
+    await platform.startHost({ seedPeers: [`127.0.0.1:${port}`] })
+    assert.equal((await sendRequest(platform.settings[1]?.guestAddress ?? '', '/reads/7')).status, 200)
+  } finally {
+    unresponsiveSeed.close()
+  }
+}))
+
+test('a host without guests does not call the store before its seeds have had time to answer', () => withHosts(1, 1, async platform => {
+  const countReads = (): number => platform.store.calls.get('/v1/rows-get') ?? 0
+  const before = countReads()
+  await platform.startHost()
+  await waitUntil('the host is ready', async () => (await sendRequest(platform.settings[1]?.readinessAddress ?? '', '/v1/ready')).status === 200)
+  assert.equal(countReads(), before)
+}))
