Judge a returning request by what is left of its target, and let guests return in time

The time of the first attempt was taken from the longest timeout ever stated, so that one patient guest made all others look like returning ones.

Change: the first attempt is estimated from the usual timeout of a route; admission counts the latency from it; Retry-After is a random time within what is useful, so that guests refused together do not return in one wave. Guests of the model return once.

--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -1,5 +1,6 @@
 // Dependencies and state shared by the modules of an entry host.
 import type { OverloadState } from '@siskinbeam/admission/overloadDetection'
+import type { TimeoutCounts } from '@siskinbeam/admission/timeBeforeArrival'
 import type { RouteTable } from '@siskinbeam/route-table/createRouteTable'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
@@ -8,7 +9,6 @@
 import type { CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import type { SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
 import type { InitialView } from './dataCentre/initialView.js'
-import type { LongestTimeouts } from './requestPath/longestTimeouts.js'
 import type { ServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import type { ServerEndpoints } from './servers/serverEndpoints.js'
 
@@ -34,7 +34,8 @@
   isShuttingDown: () => boolean
   retryBudgets: RetryBudgets
   serviceTimes: ServiceTimeEstimates
-  longestTimeouts: LongestTimeouts
+  /** Counts the timeouts that guests of a route state. */
+  timeoutCountsOf: (route: string) => TimeoutCounts
   /** Tracks how much servers of a service slow down when they are nearly saturated. */
   saturationStateOf: (service: string) => SaturationState
   /** Tracks how much longer responses of a service take than estimated. */
--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -1,7 +1,9 @@
 // Filter: sends a request to a server, and to further servers where that is safe, until there is a response to forward
 // or a reason to refuse. A table of handlers decides what follows each outcome of a send.
 import { decideAdmission, RequestPriority } from '@siskinbeam/admission/decideAdmission'
+import { decideRetryAfter } from '@siskinbeam/admission/decideRetryAfter'
 import { isOverloaded, recordSelection } from '@siskinbeam/admission/overloadDetection'
+import { recordTimeout } from '@siskinbeam/admission/timeBeforeArrival'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { FurtherSendPurpose } from '@siskinbeam/retry-share/retryShare'
 import { updateCorrection } from '@siskinbeam/server-ranking/estimateCorrection'
@@ -21,6 +23,8 @@
   exchange: GuestExchange
   route: Route
   tried: Set<ServerEndpoint>
+  /** Estimated time of the guest's first attempt, on the monotonic clock. */
+  firstAttemptAt: number
   /** Whether any server may have run the request. */
   mayHaveRun: boolean
 }
@@ -34,13 +38,12 @@
 const maximumRetryAfterMilliseconds = 400
 /** Outcomes whose duration is used to correct later estimates. */
 const calibratingOutcomes = new Set([SendOutcome.Responded, SendOutcome.TimedOut])
-/** A guest that retries states a timeout that is shorter than its first one by at least this time. */
-const repeatMarginMilliseconds = 50
 
 export const forwardRequest: Filter = exchange => {
   const { route } = exchange
   if (route === undefined) return
-  const forwarded: ForwardedRequest = { exchange, route, tried: new Set(), mayHaveRun: false }
+  const timeBeforeArrival = recordTimeout(exchange.host.timeoutCountsOf(route.name), exchange.guestTimeoutMilliseconds)
+  const forwarded: ForwardedRequest = { exchange, route, tried: new Set(), firstAttemptAt: exchange.receivedAt - timeBeforeArrival, mayHaveRun: false }
   attemptSend(forwarded).catch((error: unknown) => {
     exchange.host.logger.error('request path failed', { request: exchange.requestId, reason: String(error) })
     refuse(exchange, { code: exchange.sends > 0 ? ResultCode.ServerFailedAfterSend : ResultCode.NoServer, reason: 'internal error' })
@@ -76,17 +79,21 @@
     estimateMilliseconds: Math.round(estimatedLatencyMilliseconds),
     tried: tried.size
   }
-  const admission = decideAdmission({
+  const elapsedMilliseconds = host.now() - forwarded.firstAttemptAt
+  const isAdmitted = decideAdmission({
     estimatedLatencyMilliseconds,
-    elapsedMilliseconds: host.now() - exchange.receivedAt,
+    elapsedMilliseconds,
     targetLatencyMilliseconds: route.targetLatencyMilliseconds,
     remainingMilliseconds,
-    priority: classifyPriority(forwarded),
+    priority: host.routes()?.isLessImportant(route, exchange.service) === true ? RequestPriority.Lower : RequestPriority.Highest,
     exceedsProductiveLoad: wouldExceedProductiveLoad(occupied, load.slots, computeSaturationSlowdown(host.saturationStateOf(exchange.service))),
     hasSpareCapacity
   })
-  if (!admission.admitted) {
-    refuseNotRun(forwarded, ResultCode.Overloaded, `best server would need an estimated ${Math.round(estimatedLatencyMilliseconds)} of ${Math.round(remainingMilliseconds)} ms`, admission.retryAfterMilliseconds)
+  if (!isAdmitted) {
+    const retryAfterMilliseconds = decideRetryAfter({
+      targetLeftMilliseconds: route.targetLatencyMilliseconds - elapsedMilliseconds, serviceTimeMilliseconds, remainingMilliseconds, random: host.random
+    })
+    refuseNotRun(forwarded, ResultCode.Overloaded, `best server would need an estimated ${Math.round(estimatedLatencyMilliseconds)} of ${Math.round(remainingMilliseconds)} ms`, retryAfterMilliseconds)
     return
   }
   if (exchange.sends === 0) host.retryBudgets.recordFirstSend(exchange.service)
@@ -164,12 +171,6 @@
   return winner
 }
 
-function classifyPriority ({ exchange, route }: ForwardedRequest): RequestPriority {
-  const { host, service, guestTimeoutMilliseconds } = exchange
-  if (guestTimeoutMilliseconds < host.longestTimeouts.record(route.name, guestTimeoutMilliseconds) - repeatMarginMilliseconds) return RequestPriority.Repeated
-  return host.routes()?.isLessImportant(route, service) === true ? RequestPriority.Lower : RequestPriority.Highest
-}
-
 async function sendAndRecord ({ exchange, route, tried }: ForwardedRequest, { server, estimate }: RankedServer<ProbedServer>): Promise<ServerResult> {
   tried.add(server.endpoint)
   const sentAt = exchange.host.now()
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http'
 import type { Logger } from '@siskinbeam/logging/createLogger'
 import { createOverloadState } from '@siskinbeam/admission/overloadDetection'
+import { createTimeoutCounts } from '@siskinbeam/admission/timeBeforeArrival'
 import { bindListener } from '@siskinbeam/listeners/bindListener'
 import { createMetrics } from '@siskinbeam/metrics/createMetrics'
 import { createStoreClient } from '@siskinbeam/platform-adapter/createStoreClient'
@@ -29,7 +30,6 @@
 import { createAddressListener, createGuestListener, createReadinessListener } from './guestListeners.js'
 import { createOperatorServer } from '@siskinbeam/metrics/createOperatorServer'
 import type { PlatformHost } from './platformHost.js'
-import { createLongestTimeouts } from './requestPath/longestTimeouts.js'
 import { createServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import { createServerEndpoints } from './servers/serverEndpoints.js'
 
@@ -97,7 +97,7 @@
     endpoints,
     isShuttingDown: () => shuttingDown,
     serviceTimes: createServiceTimeEstimates(),
-    longestTimeouts: createLongestTimeouts(),
+    timeoutCountsOf: memoizeByName(createTimeoutCounts),
     saturationStateOf: memoizeByName(createSaturationState),
     correctionStateOf: memoizeByName(createCorrectionState),
     overloadStateOf: memoizeByName(createOverloadState),
--- a/limits/admission/src/decideAdmission.ts
+++ b/limits/admission/src/decideAdmission.ts
@@ -1,7 +1,7 @@
 // Admission control by expected latency. A request that would exceed its target latency occupies a slot that
 // could serve another request in time, so it is refused at once with a retry-after time. Requests with a higher
-// priority get a larger latency allowance. A request repeated after a refusal is already late, so it gets the
-// smallest allowance and cannot displace one that can be completed in time. A request with a lower priority leaves the
+// priority get a larger latency allowance. The latency counts from the guest's first attempt, so a returning request whose
+// target has passed cannot displace one that can be completed in time. A request with a lower priority leaves the
 // slots beyond a server's most productive load to requests with a higher one, which share the server. No request is refused while there is
 // spare capacity, because an overestimated latency would otherwise never be corrected by new measurements.
 
@@ -9,15 +9,13 @@
   /** Other requests of the service have a higher priority. */
   Lower = 'less',
   /** No request of the service has a higher priority. */
-  Highest = 'most',
-  /** Repeated by a guest after a refusal; its target latency counts from the first attempt. */
-  Repeated = 'comes-back'
+  Highest = 'most'
 }
 
 export interface DecideAdmissionOptions {
   /** Expected milliseconds until the best server has responded. */
   estimatedLatencyMilliseconds: number
-  /** Milliseconds since the request arrived. */
+  /** Milliseconds since the guest's first attempt. */
   elapsedMilliseconds: number
   targetLatencyMilliseconds: number
   /** Milliseconds until the deadline of the response. */
@@ -29,28 +27,15 @@
   hasSpareCapacity: boolean
 }
 
-export interface AdmissionDecision {
-  admitted: boolean
-  retryAfterMilliseconds: number
-}
-
 /** Latency allowance as a multiple of the target latency. */
 const targetLatencyFactors: Record<RequestPriority, number> = {
   [RequestPriority.Lower]: 0.9,
-  [RequestPriority.Highest]: 1.1,
-  [RequestPriority.Repeated]: 0.75
+  [RequestPriority.Highest]: 1.1
 }
-/** By then the requests queued at the time of the refusal have been served. */
-const minimumRetryAfterMilliseconds = 250
-const maximumRetryAfterMilliseconds = 700
 
-/** Decides whether a request is admitted, and after how many milliseconds a refused one may be repeated. */
-export function decideAdmission ({ estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, priority, exceedsProductiveLoad, hasSpareCapacity }: DecideAdmissionOptions): AdmissionDecision {
+/** Decides whether a request is admitted. */
+export function decideAdmission ({ estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, priority, exceedsProductiveLoad, hasSpareCapacity }: DecideAdmissionOptions): boolean {
   const limit = Math.min(remainingMilliseconds, targetLatencyFactors[priority] * targetLatencyMilliseconds - elapsedMilliseconds)
-  const excess = estimatedLatencyMilliseconds - limit
   const leavesRoom = priority === RequestPriority.Highest || !exceedsProductiveLoad
-  return {
-    admitted: hasSpareCapacity || (excess <= 0 && leavesRoom),
-    retryAfterMilliseconds: Math.min(maximumRetryAfterMilliseconds, minimumRetryAfterMilliseconds + Math.max(0, excess))
-  }
+  return hasSpareCapacity || (estimatedLatencyMilliseconds <= limit && leavesRoom)
 }
--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -1,7 +1,9 @@
 // Simulated entry host of the users' platform. Probes, ranking and admission use the decision modules of
 // the daemon; the policy determines how a server is chosen.
 import { decideAdmission, RequestPriority } from '@siskinbeam/admission/decideAdmission'
+import { decideRetryAfter } from '@siskinbeam/admission/decideRetryAfter'
 import { createOverloadState, isOverloaded, recordSelection, type OverloadState } from '@siskinbeam/admission/overloadDetection'
+import { createTimeoutCounts, recordTimeout } from '@siskinbeam/admission/timeBeforeArrival'
 import { createServiceTimeEstimates } from '@siskinbeam/platform-host/requestPath/serviceTimeEstimates'
 import type { VirtualTime } from '@siskinbeam/policy-comparison/eventQueue'
 import { sample, type Random } from '@siskinbeam/random/createRandom'
@@ -34,7 +36,10 @@
 export interface SimulatedRequest {
   kind: RequestKind
   serviceTimeMilliseconds: number
-  onEnd: (end: RequestOutcome) => void
+  /** Milliseconds until the guest's deadline, as it states it. */
+  timeoutMilliseconds: number
+  /** Called once; with the time after which the guest may return if the request was refused. */
+  onEnd: (end: RequestOutcome, retryAfterMilliseconds: number) => void
 }
 
 interface ProbedPlatformServer {
@@ -130,19 +135,21 @@
     [PlatformPolicy.OmniscientAdmission]: chooseOmniscient
   }
 
-  const isAdmitted = (kind: RequestKind, choice: RankedServer<ProbedPlatformServer>, elapsedMilliseconds: number): boolean => {
+  const timeoutCounts = new Map(scenario.kinds.map(({ name }) => [name, createTimeoutCounts()]))
+
+  const isAdmitted = ({ kind, timeoutMilliseconds }: SimulatedRequest, choice: RankedServer<ProbedPlatformServer>, elapsedMilliseconds: number, timeBeforeArrival: number): boolean => {
     const { overload, correction, saturation } = stateOf(kind.service)
     const { load } = choice.server
     recordSelection(overload, wouldBeNearSaturation(load.running + load.waiting, load.slots))
     return !policiesWithAdmission.has(policy) || decideAdmission({
       estimatedLatencyMilliseconds: choice.estimate * correction.factor,
-      elapsedMilliseconds,
+      elapsedMilliseconds: elapsedMilliseconds + timeBeforeArrival,
       targetLatencyMilliseconds: kind.targetLatencyMilliseconds,
-      remainingMilliseconds: kind.deadlineMilliseconds - elapsedMilliseconds,
+      remainingMilliseconds: timeoutMilliseconds - elapsedMilliseconds,
       exceedsProductiveLoad: wouldExceedProductiveLoad(load.running + load.waiting, load.slots, computeSaturationSlowdown(saturation)),
       priority: kind.isLessImportant ? RequestPriority.Lower : RequestPriority.Highest,
       hasSpareCapacity: choice.hasFreeSlot && !isOverloaded(overload)
-    }).admitted
+    })
   }
 
   const updateEstimates = (kind: RequestKind, { server: { load }, estimate }: RankedServer<ProbedPlatformServer>, milliseconds: number): void => {
@@ -153,25 +160,35 @@
     if (load.slowdown <= maximumNormalSlowdown && load.waiting === 0) recordResponseTime(saturation, wouldBeNearSaturation(load.running, load.slots), milliseconds / expectedMilliseconds)
   }
 
-  const send = ({ kind, serviceTimeMilliseconds, onEnd }: SimulatedRequest, choice: RankedServer<ProbedPlatformServer>, arrivedAt: number): void => {
+  const send = ({ kind, serviceTimeMilliseconds, timeoutMilliseconds, onEnd }: SimulatedRequest, choice: RankedServer<ProbedPlatformServer>, arrivedAt: number): void => {
     const { server } = choice.server
     const sentAt = time.now
     inFlight.set(server, readInFlight(server) + 1)
     const finish = (end: RequestOutcome): void => time.schedule(oneWayMilliseconds(server), () => {
       inFlight.set(server, readInFlight(server) - 1)
-      const isInTime = time.now - arrivedAt <= kind.deadlineMilliseconds
+      const isInTime = time.now - arrivedAt <= timeoutMilliseconds
       if (end === RequestOutcome.Responded) updateEstimates(kind, choice, time.now - sentAt)
-      onEnd(isInTime ? end : RequestOutcome.Failed)
+      onEnd(isInTime ? end : RequestOutcome.Failed, 0)
     })
     time.schedule(oneWayMilliseconds(server), () => {
       if (!server.accept(serviceTimeMilliseconds, () => finish(RequestOutcome.Responded))) finish(RequestOutcome.Failed)
     })
   }
 
+  const refuse = ({ kind, timeoutMilliseconds, onEnd }: SimulatedRequest, elapsedMilliseconds: number, timeBeforeArrival: number): void => onEnd(RequestOutcome.Refused, decideRetryAfter({
+    targetLeftMilliseconds: kind.targetLatencyMilliseconds - timeBeforeArrival - elapsedMilliseconds,
+    serviceTimeMilliseconds: readServiceTime(kind),
+    remainingMilliseconds: timeoutMilliseconds - elapsedMilliseconds,
+    random
+  }))
+
   return request => {
     const arrivedAt = time.now
+    const counts = timeoutCounts.get(request.kind.name) ?? createTimeoutCounts()
+    const timeBeforeArrival = recordTimeout(counts, request.timeoutMilliseconds)
     policyFunctions[policy](request.kind, choice => {
-      if (choice === undefined || !isAdmitted(request.kind, choice, time.now - arrivedAt)) request.onEnd(RequestOutcome.Refused)
+      const elapsedMilliseconds = time.now - arrivedAt
+      if (choice === undefined || !isAdmitted(request, choice, elapsedMilliseconds, timeBeforeArrival)) refuse(request, elapsedMilliseconds, timeBeforeArrival)
       else send(request, choice, arrivedAt)
     })
   }
--- a/routing/platform-comparison/src/runPlatform.ts
+++ b/routing/platform-comparison/src/runPlatform.ts
@@ -4,7 +4,7 @@
 import { computePercentile } from '@siskinbeam/policy-comparison/computePercentile'
 import { deriveStreamSeed } from '@siskinbeam/policy-comparison/deriveStreamSeed'
 import { createRandom, drawExponential, drawLognormal, pickIndex } from '@siskinbeam/random/createRandom'
-import { createPlatformHost, RequestOutcome, type SimulatedRequest } from './platformHost.js'
+import { createPlatformHost, RequestOutcome } from './platformHost.js'
 import type { PlatformPolicy, PlatformScenario } from './platformScenario.js'
 import { createPlatformServer, type PlatformServer } from './platformServer.js'
 
@@ -13,6 +13,8 @@
 /** Time for the last requests to end. */
 const drainMilliseconds = 4_000
 const serviceTimeSigma = 0.3
+/** How often a guest returns after a refusal. */
+const returnsOfGuests = 1
 const lateCreditRatio = 0.1
 
 export interface RunPlatformOptions {
@@ -74,8 +76,18 @@
         sums.earnedCredit += earned
         ofKind.earned += earned
       }
-      const request: SimulatedRequest = { kind, serviceTimeMilliseconds: drawLognormal(random, kind.workMilliseconds, serviceTimeSigma), onEnd: recordOutcome }
-      hosts[pickIndex(random, hosts.length)]?.(request)
+      const serviceTimeMilliseconds = drawLognormal(random, kind.workMilliseconds, serviceTimeSigma)
+      // The guest returns once after a refusal, as the platform's guests do.
+      const attempt = (timeoutMilliseconds: number, returnsLeft: number): void => hosts[pickIndex(random, hosts.length)]?.({
+        kind,
+        serviceTimeMilliseconds,
+        timeoutMilliseconds,
+        onEnd: (outcome, retryAfterMilliseconds) => {
+          if (outcome !== RequestOutcome.Refused || returnsLeft === 0) recordOutcome(outcome)
+          else time.schedule(retryAfterMilliseconds, () => attempt(Math.round(kind.deadlineMilliseconds - (time.now - arrivedAt)), returnsLeft - 1))
+        }
+      })
+      attempt(kind.deadlineMilliseconds, returnsOfGuests)
       time.schedule(drawExponential(random, meanInterarrivalMilliseconds), arrive)
     }
     time.schedule(drawExponential(random, meanInterarrivalMilliseconds), arrive)
