Share between hosts which servers fail part of their requests

Cause: each of 20 hosts sends a server one request in four seconds, so that its own ratio of failures says nothing; servers that reset half of what they get kept their share, and an unsafe request cannot be sent again.

Change: followers report the outcomes of their sends with each sync, the source answers with the servers that two or more hosts have seen failing; counts halve every four seconds. A request that cannot be repeated ranks servers by the cube of the success ratio. Failures at a full server are no evidence, since full servers reset connections.

--- a/daemon/platform-host/src/dataCentre/peerClient.ts
+++ b/daemon/platform-host/src/dataCentre/peerClient.ts
@@ -61,6 +61,7 @@
     addHosts(sourceSelection, (membersUpdate?.members ?? []).filter(({ dataCentre }) => dataCentre === host.settings.dataCentre))
     // Only the revisions of the source are stored; revisions of other hosts are not comparable and would overwrite them.
     if (!follows) return
+    host.failureReports.applyFailing(reply.failingServers ?? [])
     if (membersUpdate === undefined) members.renewAll()
     else members.applyUpdate(membersUpdate)
     sourceState = { boot: reply.boot, registryRevision: reply.registryRevision, membersRevision: reply.membersRevision }
@@ -68,6 +69,7 @@
 
   return {
     sync: async ({ address, name, waitMilliseconds, follows }) => {
+      const sendReport = follows ? host.failureReports.takeReport() : []
       const reply = await send<SyncReply>(address, syncPath, {
         member: own(),
         configurationVersion: view.routes()?.configuration.version ?? 0,
@@ -77,7 +79,8 @@
         membersRevision: sourceState.membersRevision,
         membersDigest: members.digest(),
         waitMilliseconds,
-        follows
+        follows,
+        ...(sendReport.length === 0 ? {} : { sendReport })
       }, waitMilliseconds)
       if (reply !== undefined) applyReply(reply, name, follows)
       return reply
--- a/daemon/platform-host/src/dataCentre/peerMessages.ts
+++ b/daemon/platform-host/src/dataCentre/peerMessages.ts
@@ -1,8 +1,10 @@
 // Messages between entry hosts, sent as unary calls with JSON bodies.
 import { gunzipSync, gzipSync } from 'node:zlib'
 import type { Configuration } from '@siskinbeam/route-table/configuration'
+import type { FailingServer } from '@siskinbeam/failure-evidence/failureEvidence'
 import type { RelayedUpdate } from '@siskinbeam/server-registry/serverRegistry'
 import type { KnownHost } from '@siskinbeam/watch-duty/sourceSelection'
+import type { ReportedSends } from './failureReports.js'
 
 /** An entry host and whether it is ready for guests. */
 export interface Member extends KnownHost {
@@ -34,6 +36,8 @@
   waitMilliseconds: number
   /** Whether the caller relies on the called host to watch the store. */
   follows: boolean
+  /** Outcomes of the caller's sends since its last report; absent if there are none. */
+  sendReport?: ReportedSends[]
 }
 
 export interface SyncReply {
@@ -44,6 +48,8 @@
   failingMilliseconds: number
   registryRevision: number
   membersRevision: number
+  /** Servers that several hosts have seen failing; absent if there are none. */
+  failingServers?: FailingServer[]
   /** Changes that are new to the caller, encoded by `encodeViewUpdate`; absent if there are none. */
   news?: string
 }
--- a/daemon/platform-host/src/dataCentre/peerServer.ts
+++ b/daemon/platform-host/src/dataCentre/peerServer.ts
@@ -5,6 +5,7 @@
 import { listIntroduced, recordIntroduction, type IntroductionState } from '@siskinbeam/watch-duty/introductions'
 import { listFirstHosts } from '@siskinbeam/watch-duty/sourceSelection'
 import type { PlatformHost } from '../platformHost.js'
+import type { ReportedSends } from './failureReports.js'
 import type { MemberList } from './memberList.js'
 import { introducePath, encodeViewUpdate, syncPath, type IntroduceReply, type IntroduceRequest, type Member, type SyncReply, type SyncRequest } from './peerMessages.js'
 import type { View } from './view.js'
@@ -84,12 +85,14 @@
 
   const createReply = (caller: CallerState): SyncReply => {
     const failingSince = options.failingSince()
+    const failingServers = host.failureReports.listFailing()
     return {
       boot: options.boot,
       ageMilliseconds: Number.isFinite(options.confirmedAt()) ? host.now() - options.confirmedAt() : -1,
       failingMilliseconds: failingSince === undefined ? 0 : host.now() - failingSince,
       registryRevision: view.registry.revision,
       membersRevision: members.revision(),
+      ...(failingServers.length === 0 ? {} : { failingServers }),
       ...(hasChanges(caller) ? { news: encodeUpdate(caller) } : {})
     }
   }
@@ -97,6 +100,7 @@
   const answerSync = (request: SyncRequest, response: ServerResponse): void => {
     members.recordCall(request.member)
     options.onCall(request.member, request.follows)
+    host.failureReports.addReport(request.member.name, (request.sendReport ?? []).filter(isSendReport))
     const caller = readCallerState(request)
     const reply = (): void => {
       clearTimeout(timer)
@@ -175,6 +179,10 @@
   return [name, dataCentre, guestAddress, peerAddress].every(field => typeof field === 'string') && typeof processorShare === 'number'
 }
 
+function isSendReport ({ server, sends, failures }: ReportedSends): boolean {
+  return typeof server === 'string' && Number.isFinite(sends) && Number.isFinite(failures) && failures >= 0 && sends >= failures
+}
+
 function sendJson (response: ServerResponse, value: unknown): void {
   const body = JSON.stringify(value)
   response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -8,6 +8,7 @@
 import type { FurtherSendPurpose } from '@siskinbeam/retry-share/retryShare'
 import type { CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import type { SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
+import type { FailureReports } from './dataCentre/failureReports.js'
 import type { InitialView } from './dataCentre/initialView.js'
 import type { ServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import type { ServerEndpoints } from './servers/serverEndpoints.js'
@@ -33,6 +34,8 @@
   endpoints: ServerEndpoints
   isShuttingDown: () => boolean
   retryBudgets: RetryBudgets
+  /** Failures of servers that the hosts of the data centre have seen. */
+  failureReports: FailureReports
   serviceTimes: ServiceTimeEstimates
   /** Counts the timeouts that guests of a route state. */
   timeoutCountsOf: (route: string) => TimeoutCounts
--- a/daemon/platform-host/src/requestPath/chooseProbedServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseProbedServer.ts
@@ -35,7 +35,7 @@
     const results = await probeServers({ endpoints, healthPath, now: host.now, onProbed: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
     const responsive = [...earlier, ...results].filter(({ endpoint }) => endpoint.acceptsRequests())
     const best = rankProbed(responsive, exchange, serviceTimeMilliseconds)
-    const isGoodEnough = best !== undefined && best.hasFreeSlot && best.estimate <= maximumSlowdown * serviceTimeMilliseconds
+    const isGoodEnough = best !== undefined && best.hasFreeSlot && best.adjustedEstimate <= maximumSlowdown * serviceTimeMilliseconds
     if (isGoodEnough || endpoints.length === 0 || round + 1 >= options.rounds || exchange.finished) return best
     return probeRound(round + 1, responsive)
   }
@@ -47,7 +47,7 @@
   const now = host.now()
   const healthy = responsive.filter(server => server.isHealthy)
   const views = (healthy.length > 0 ? healthy : responsive).map(server => ({ server, view: describeServer(server, exchange, now) }))
-  return rankServers(views, serviceTimeMilliseconds)[0]
+  return rankServers(views, { serviceTimeMilliseconds, isRepeatable: exchange.route?.idempotent === true })[0]
 }
 
 function describeServer ({ endpoint, load, inFlightWhenProbed }: ProbedServer, { host, service }: GuestExchange, now: number): ServerView {
@@ -56,7 +56,7 @@
     unreportedRequests: Math.max(0, endpoint.inFlight - inFlightWhenProbed),
     sameDataCentre: endpoint.server.dataCentre === host.settings.dataCentre,
     cold: endpoint.warmUpUntil > now,
-    failureRatio: endpoint.failureRatio,
+    failureRatio: Math.max(endpoint.failureRatio, host.failureReports.readRatio(endpoint.server.id)),
     saturationSlowdown: computeSaturationSlowdown(host.saturationStateOf(service))
   }
 }
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -107,11 +107,17 @@
 
 const failedOutcomes = new Set([SendOutcome.Failed, SendOutcome.NotExecuted, SendOutcome.Broken, SendOutcome.TimedOut])
 
-function recordOutcome (exchange: GuestExchange, { endpoint }: ProbedServer, sent: SendResult): void {
+function recordOutcome (exchange: GuestExchange, { endpoint, load }: ProbedServer, sent: SendResult): void {
   const { host } = exchange
+  const failed = failedOutcomes.has(sent.outcome)
+  // A full server resets connections without being ill.
+  const isConclusive = sent.outcome !== SendOutcome.Cancelled && !(failed && load.running + load.waiting >= load.slots)
   if (sent.outcome === SendOutcome.NotSent) recordUnreachable(endpoint, host.now())
-  if (sent.outcome !== SendOutcome.Cancelled) recordSendOutcome(endpoint, failedOutcomes.has(sent.outcome))
-  if (!failedOutcomes.has(sent.outcome)) return
+  if (isConclusive) {
+    recordSendOutcome(endpoint, failed)
+    host.failureReports.record(endpoint.server.id, failed)
+  }
+  if (!failed) return
   host.logger.info('send failed', {
     request: exchange.requestId,
     server: endpoint.server.id,
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -18,6 +18,7 @@
 import { createIntroductions } from '@siskinbeam/watch-duty/introductions'
 import { addHosts, createSourceSelection, recordIncomingCall } from '@siskinbeam/watch-duty/sourceSelection'
 import { createPeerClient } from './dataCentre/peerClient.js'
+import { createFailureReports } from './dataCentre/failureReports.js'
 import { createInitialView } from './dataCentre/initialView.js'
 import { followSource } from './dataCentre/followSource.js'
 import { joinDataCentre } from './dataCentre/joinDataCentre.js'
@@ -101,6 +102,7 @@
     saturationStateOf: memoizeByName(createSaturationState),
     correctionStateOf: memoizeByName(createCorrectionState),
     overloadStateOf: memoizeByName(createOverloadState),
+    failureReports: createFailureReports({ host: settings.host, now }),
     retryBudgets: {
       recordFirstSend: service => recordFirstSend(retryBudgetOf(service), now()),
       tryTake: (service, purpose) => takeFurtherSend(retryBudgetOf(service), {
@@ -161,6 +163,7 @@
     configuration: view.routes()?.configuration.version,
     ageMilliseconds: Math.round(now() - follower.confirmedAt()),
     members: members.list(),
+    failingServers: [...view.registry.servers.keys()].map(server => ({ server, failureRatio: host.failureReports.readRatio(server) })).filter(({ failureRatio }) => failureRatio > 0),
     servers: [...view.registry.servers.values()],
     metrics: metrics.snapshot()
   })
--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -206,3 +206,17 @@
   await waitUntil('the host is ready', async () => (await sendRequest(platform.settings[1]?.readinessAddress ?? '', '/v1/ready')).status === 200)
   assert.equal(countReads(), before)
 }))
+
+test('failures that several hosts have seen at a server reach a host that has sent it nothing', () => withHosts(4, 1, async (platform, servers) => {
+  const [failing] = servers as [ScriptedServer]
+  failing.script = (request, response) => { response.socket?.destroy() }
+  await waitUntil('the hosts know each other', async () => (await addressesOf(platform, 3)).length === 4)
+  const report = async (): Promise<void> => {
+    await Promise.all([1, 2].map(index => sendRequest(platform.settings[index]?.guestAddress ?? '', '/bookings/7', { method: 'POST' })))
+  }
+  const knownFailures = (): unknown[] => (JSON.parse(platform.hosts[3]?.dump() ?? '{}') as { failingServers: unknown[] }).failingServers
+  await waitUntil('the failures are known', async () => {
+    await report()
+    return knownFailures().length === 1
+  })
+}))
--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -92,7 +92,7 @@
       failureRatio: 0,
       saturationSlowdown: computeSaturationSlowdown(stateOf(kind.service).saturation)
     }
-  })), readServiceTime(kind))[0]
+  })), { serviceTimeMilliseconds: readServiceTime(kind), isRepeatable: false })[0]
 
   const snapshotServer = (server: PlatformServer): ProbedPlatformServer => ({ server, load: server.readLoad(), inFlightWhenProbed: readInFlight(server) })
 
--- a/routing/server-ranking/src/rankServers.ts
+++ b/routing/server-ranking/src/rankServers.ts
@@ -23,7 +23,7 @@
   sameDataCentre: boolean
   /** Whether the server started recently. */
   cold: boolean
-  /** Ratio of this host's most recent requests to the server that failed, 0 to 1. */
+  /** Ratio of the most recent requests to the server that failed, 0 to 1. */
   failureRatio: number
   /** Slowdown factor of nearly saturated servers of this service. */
   saturationSlowdown: number
@@ -33,7 +33,9 @@
   server: Server
   /** Expected milliseconds until the response, provided that the server responds. */
   estimate: number
-  /** Ranking key in milliseconds: the estimate with penalties for failures and for a remote data centre. */
+  /** The estimate in milliseconds with a penalty for failures. */
+  adjustedEstimate: number
+  /** Ranking key in milliseconds: the adjusted estimate with a penalty for a remote data centre. */
   cost: number
   /** Whether the server has a free slot, so that the request would start immediately. */
   hasFreeSlot: boolean
@@ -43,6 +45,14 @@
 /** Covers two trips between data centres, plus a small preference for the own data centre while it has free slots. */
 const remoteDataCentrePenaltyMilliseconds = 30
 const maximumFailureRatio = 0.95
+/** Exponent of the success ratio: a failed request that can be repeated costs another attempt, any other is lost. */
+const failurePenaltyExponent = { repeatable: 1, other: 3 }
+
+export interface RankServersOptions {
+  serviceTimeMilliseconds: number
+  /** Whether the request can be sent to another server if this one fails it. */
+  isRepeatable: boolean
+}
 
 /** Estimates the milliseconds until a server would respond to one more request of `serviceTimeMilliseconds`. */
 export function estimateCompletion (view: ServerView, serviceTimeMilliseconds: number): number {
@@ -56,16 +66,24 @@
   return adjustedServiceTime + slowdownMilliseconds + wait
 }
 
-function computeCost (view: ServerView, estimate: number): number {
-  return estimate / (1 - Math.min(maximumFailureRatio, view.failureRatio)) + (view.sameDataCentre ? 0 : remoteDataCentrePenaltyMilliseconds)
+function adjustForFailures (estimate: number, failureRatio: number, isRepeatable: boolean): number {
+  const successRatio = 1 - Math.min(maximumFailureRatio, failureRatio)
+  return estimate / successRatio ** (isRepeatable ? failurePenaltyExponent.repeatable : failurePenaltyExponent.other)
 }
 
 /** Ranks servers by ascending cost. */
-export function rankServers<Server> (views: Array<{ server: Server, view: ServerView }>, serviceTimeMilliseconds: number): Array<RankedServer<Server>> {
+export function rankServers<Server> (views: Array<{ server: Server, view: ServerView }>, { serviceTimeMilliseconds, isRepeatable }: RankServersOptions): Array<RankedServer<Server>> {
   return views
     .map(({ server, view }) => {
       const estimate = estimateCompletion(view, serviceTimeMilliseconds)
-      return { server, estimate, cost: computeCost(view, estimate), hasFreeSlot: view.load.running + view.load.waiting + view.unreportedRequests < view.load.slots }
+      const adjustedEstimate = adjustForFailures(estimate, view.failureRatio, isRepeatable)
+      return {
+        server,
+        estimate,
+        adjustedEstimate,
+        cost: adjustedEstimate + (view.sameDataCentre ? 0 : remoteDataCentrePenaltyMilliseconds),
+        hasFreeSlot: view.load.running + view.load.waiting + view.unreportedRequests < view.load.slots
+      }
     })
     .sort((first, second) => first.cost - second.cost)
 }
--- a/routing/server-ranking/test/rankServers.test.ts
+++ b/routing/server-ranking/test/rankServers.test.ts
@@ -11,7 +11,7 @@
 const seed = 20_261_204
 const normal: ServerView = { load: { running: 0, waiting: 0, slots: 3, slowdown: 1 }, unreportedRequests: 0, sameDataCentre: true, cold: false, failureRatio: 0, saturationSlowdown: 1.7 }
 const best = (views: Record<string, ServerView>): string | undefined =>
-  rankServers(Object.entries(views).map(([server, view]) => ({ server, view })), 200)[0]?.server
+  rankServers(Object.entries(views).map(([server, view]) => ({ server, view })), { serviceTimeMilliseconds: 200, isRepeatable: true })[0]?.server
 
 test('a normal server ranks before each server with a drawback', () => {
   const drawbacks: Record<string, Partial<ServerView>> = {
@@ -93,3 +93,9 @@
   Array.from({ length: 200 }, () => updateCorrection(state, 200, 200))
   assert.ok(state.factor < 1.1)
 })
+
+test('a request that cannot be repeated goes to a slower server rather than to one that fails a part of its requests', () => {
+  const views = Object.entries({ failing: { ...normal, failureRatio: 0.4 }, slow: { ...normal, load: { ...normal.load, slowdown: 3 } } }).map(([server, view]) => ({ server, view }))
+  assert.equal(rankServers(views, { serviceTimeMilliseconds: 200, isRepeatable: false })[0]?.server, 'slow')
+  assert.equal(rankServers(views, { serviceTimeMilliseconds: 200, isRepeatable: true })[0]?.server, 'failing')
+})
