Hedge only with spare capacity, and look again for a second server

Change: no hedge while the service is overloaded or to a nearly saturated server; without a suitable server the search is repeated every 120 ms.

Result: a test of the silent server and one of the nearly saturated server.

--- a/daemon/platform-host/src/requestPath/hedgeRequest.ts
+++ b/daemon/platform-host/src/requestPath/hedgeRequest.ts
@@ -1,7 +1,9 @@
 // Request hedging: an idempotent request that is late is also sent to a second server, and the first response is used.
+import { isOverloaded } from '@siskinbeam/admission/overloadDetection'
 import type { Route } from '@siskinbeam/route-table/configuration'
 import { FurtherSendPurpose } from '@siskinbeam/retry-share/retryShare'
 import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
+import { wouldBeNearSaturation } from '@siskinbeam/server-ranking/saturationSlowdown'
 import type { ProbedServer } from '../servers/probeServers.js'
 import type { ServerEndpoint } from '../servers/serverEndpoint.js'
 import { chooseProbedServer } from './chooseProbedServer.js'
@@ -35,30 +37,49 @@
 const minimumDelayFactor = 1.2
 /** Time reserved for a hedge before the target latency, as a multiple of the expected service time. */
 const targetReserveFactor = 1.3
+/** Interval of further attempts if no suitable server is found, since the first server may be gone without closing its connections. */
+const attemptIntervalMilliseconds = 120
 
-/** Sends the request a second time once it is late, if a server with a free slot is found and the retry budget permits it. */
+/**
+ * Sends the request a second time once it is late, if a server with spare capacity is found and the retry budget permits it.
+ * In an overload, a second send would take the place of another request's first one.
+ */
 export function scheduleHedge ({ exchange, route, tried, serviceTimeMilliseconds, send }: ScheduleHedgeOptions): Hedge {
   const sendAt = exchange.receivedAt + Math.max(minimumDelayFactor * serviceTimeMilliseconds, route.targetLatencyMilliseconds - targetReserveFactor * serviceTimeMilliseconds)
+  const { host } = exchange
   let stopped = false
   let sent = false
   let stop = (): void => { stopped = true }
+  const canHedge = (): boolean => !stopped && !exchange.finished && exchange.sends < route.maximumAttempts && exchange.deadlineAt - host.now() > serviceTimeMilliseconds
+  const isUseful = (choice: RankedServer<ProbedServer> | undefined): choice is RankedServer<ProbedServer> => {
+    if (choice === undefined || !choice.hasFreeSlot || isOverloaded(host.overloadStateOf(exchange.service))) return false
+    const { running, waiting, slots } = choice.server.load
+    return !wouldBeNearSaturation(running + waiting, slots) && choice.estimate < exchange.deadlineAt - host.now()
+  }
   const promise = new Promise<ServerResult | undefined>(resolve => {
-    const timer = setTimeout(() => { hedge().then(resolve, () => resolve(undefined)) }, Math.max(0, sendAt - exchange.host.now()))
+    let timer: NodeJS.Timeout | undefined
+    const schedule = (milliseconds: number): void => {
+      timer = setTimeout(() => { attempt().catch(() => resolve(undefined)) }, Math.max(0, milliseconds))
+    }
+    const attempt = async (): Promise<void> => {
+      const choice = await chooseProbedServer({ exchange, tried, serviceTimeMilliseconds, rounds: maximumProbeRounds })
+      if (!canHedge()) {
+        resolve(undefined)
+      } else if (isUseful(choice) && host.retryBudgets.tryTake(exchange.service, FurtherSendPurpose.Hedge)) {
+        host.metrics.count('hedges_total')
+        sent = true
+        resolve(await send(choice))
+      } else {
+        schedule(attemptIntervalMilliseconds)
+      }
+    }
+    schedule(sendAt - host.now())
     stop = () => {
       stopped = true
       clearTimeout(timer)
       resolve(undefined)
     }
   })
-  const hedge = async (): Promise<ServerResult | undefined> => {
-    const choice = await chooseProbedServer({ exchange, tried, serviceTimeMilliseconds, rounds: maximumProbeRounds })
-    const isUseful = choice?.hasFreeSlot === true && choice.estimate < exchange.deadlineAt - exchange.host.now()
-    if (!isUseful || stopped || exchange.finished || exchange.sends >= route.maximumAttempts) return undefined
-    if (!exchange.host.retryBudgets.tryTake(exchange.service, FurtherSendPurpose.Hedge)) return undefined
-    exchange.host.metrics.count('hedges_total')
-    sent = true
-    return send(choice)
-  }
   return { promise, isSent: () => sent, stop: () => stop() }
 }
 
--- a/daemon/platform-host/test/requestPath.test.ts
+++ b/daemon/platform-host/test/requestPath.test.ts
@@ -215,3 +215,27 @@
   server.load = '8,0,10,100'
   assert.equal((await sendRequest(address, '/bookings/7', { method: 'POST', id: 'last' })).status, 200)
 }))
+
+// Pattern: a server goes silent while the others are busy. The only attempt to send the request again found no free slot.
+test('an idempotent request at a silent server is sent again as soon as another server has room', () => withServers([() => {}, () => {}], async (platform, servers, address) => {
+  let silent: ScriptedServer | undefined
+  servers.forEach(server => {
+    server.script = (request, response) => {
+      if (silent !== undefined) return respondNormally(request, response)
+      silent = server
+      servers.filter(other => other !== server).forEach(other => { other.load = '3,4,3,100' })
+      setTimeout(() => servers.forEach(other => { other.load = '0,0,3,100' }), 700)
+    }
+  })
+  assert.equal((await sendRequest(address, '/reads/7')).status, 200)
+  assert.equal(countReceived(servers), 2)
+}))
+
+test('a late request is not hedged to a server that is nearly saturated', () => withServers([() => {}, respondNormally], async (platform, servers, address) => {
+  servers.forEach(server => {
+    server.load = '2,0,3,100'
+    server.script = () => {}
+  })
+  assert.equal((await sendRequest(address, '/reads/7')).status, 504)
+  assert.equal(countReceived(servers), 1)
+}))
