Repeat a probe on a new connection if a reused one is broken

Cause: a server that forgets idle connections, or an extra answer on one, made the probe fail, and the server was avoided for 0.4 s and more.

Change: such a probe is repeated once on a new connection before the server counts as unreachable.

Result: the new test fails on the code before.

--- a/daemon/platform-host/src/servers/probeServers.ts
+++ b/daemon/platform-host/src/servers/probeServers.ts
@@ -4,7 +4,7 @@
 import { readResponseMetadata } from '@siskinbeam/platform-adapter/serverProtocol'
 import { setTimeoutAfterPoll } from '@siskinbeam/processes/setTimeoutAfterPoll'
 import type { ProbedLoad } from '@siskinbeam/server-ranking/rankServers'
-import { ExchangeOutcome, type ServerConnection } from './serverConnection.js'
+import { ExchangeOutcome, type ExchangeResult, type ServerConnection } from './serverConnection.js'
 import { recordReachable, recordUnreachable, type ServerEndpoint } from './serverEndpoint.js'
 
 /** A server that responded, with the connection to use. */
@@ -63,6 +63,17 @@
 
 async function probeServer (endpoint: ServerEndpoint, options: ProbeServersOptions): Promise<ProbedServer | undefined> {
   const connection = endpoint.acquireConnection()
+  const isReused = connection.wasUsed()
+  const result = await runProbe(connection, endpoint, options)
+  // A server may have closed an idle connection, or have sent bytes on it that belong to an earlier request.
+  if (result.outcome === ExchangeOutcome.Broken && isReused) {
+    const fresh = endpoint.openConnection()
+    return readProbeResult(await runProbe(fresh, endpoint, options), fresh, endpoint, options)
+  }
+  return readProbeResult(result, connection, endpoint, options)
+}
+
+async function runProbe (connection: ServerConnection, endpoint: ServerEndpoint, options: ProbeServersOptions): Promise<ExchangeResult> {
   const result = await connection.runExchange({
     method: 'GET',
     path: options.healthPath,
@@ -75,6 +86,10 @@
     }
   })
   options.onProbed(result.outcome)
+  return result
+}
+
+function readProbeResult (result: ExchangeResult, connection: ServerConnection, endpoint: ServerEndpoint, options: ProbeServersOptions): ProbedServer | undefined {
   if (result.outcome !== ExchangeOutcome.Responded) {
     recordUnreachable(endpoint, options.now())
     return undefined
--- a/daemon/platform-host/src/servers/serverConnection.ts
+++ b/daemon/platform-host/src/servers/serverConnection.ts
@@ -53,6 +53,8 @@
 
 export interface ServerConnection {
   runExchange: (exchange: ServerExchange) => Promise<ExchangeResult>
+  /** Whether an earlier exchange has ended on this connection. */
+  wasUsed: () => boolean
   close: () => void
 }
 
@@ -185,6 +187,6 @@
     else if (!closed) options.onIdle(connection)
   }
 
-  const connection: ServerConnection = { runExchange, close }
+  const connection: ServerConnection = { runExchange, wasUsed: () => currentSocket !== undefined, close }
   return connection
 }
--- a/daemon/platform-host/src/servers/serverEndpoint.ts
+++ b/daemon/platform-host/src/servers/serverEndpoint.ts
@@ -18,6 +18,7 @@
   acceptsRequests: () => boolean
   /** Returns the wanted connection if it is idle, otherwise another idle or a new connection. */
   acquireConnection: (wanted?: ServerConnection) => ServerConnection
+  openConnection: () => ServerConnection
   update: (server: RegisteredServer, now: number) => void
   close: () => void
 }
@@ -57,7 +58,8 @@
     warmUpUntil: options.now + options.server.warmUpMilliseconds,
     preferred: true,
     acceptsRequests: () => !closed && endpoint.server.state === ServerState.Ready,
-    acquireConnection: wanted => acquireIdle(wanted) ?? createServerConnection({
+    acquireConnection: wanted => acquireIdle(wanted) ?? endpoint.openConnection(),
+    openConnection: () => createServerConnection({
       address: endpoint.server.address,
       onIdle: connection => {
         if (endpoint.acceptsRequests()) idle.push(connection)
--- a/daemon/platform-host/test/requestPath.test.ts
+++ b/daemon/platform-host/test/requestPath.test.ts
@@ -239,3 +239,15 @@
   assert.equal((await sendRequest(address, '/reads/7')).status, 504)
   assert.equal(countReceived(servers), 1)
 }))
+
+// Pattern: a server forgets idle connections. The reset of a reused one counted as a failure of the server, which was then avoided.
+test('a server that resets idle connections is reached on a new one at once', () => withServers([respondNormally], async (platform, servers, address) => {
+  const [server] = servers as [ScriptedServer]
+  const request = (index: number): Promise<{ status: number }> => sendRequest(address, '/bookings/7', { method: 'POST', id: `r-${index}` })
+  assert.equal((await request(0)).status, 200)
+  for (let index = 1; index <= 5; index += 1) {
+    await pause(30)
+    server.onIdleRequest = socket => socket.resetAndDestroy()
+    assert.equal((await request(index)).status, 200)
+  }
+}))
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -30,6 +30,8 @@
   /** Status of the health responses. */
   healthStatus: number
   sockets: Set<Socket>
+  /** Takes the next request that arrives on a used connection, once. */
+  onIdleRequest: ((socket: Socket) => void) | undefined
   stop: () => void
 }
 
@@ -45,8 +47,16 @@
 /** Starts a server on a free port. */
 export async function startServer (script: ServerScript = respondNormally): Promise<ScriptedServer> {
   serverCount += 1
-  const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, sockets: new Set(), stop: () => {} }
+  const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, sockets: new Set(), onIdleRequest: undefined, stop: () => {} }
+  const usedSockets = new WeakSet<Socket>()
   const listener = createHttpServer((request, response) => {
+    const takeIdleRequest = usedSockets.has(request.socket) ? server.onIdleRequest : undefined
+    usedSockets.add(request.socket)
+    if (takeIdleRequest !== undefined) {
+      server.onIdleRequest = undefined
+      takeIdleRequest(request.socket)
+      return
+    }
     const chunks: Buffer[] = []
     response.on('error', () => {})
     request.on('data', (chunk: Buffer) => chunks.push(chunk))
