--- a/bench/bench/src/faults/injectFaults.ts
+++ b/bench/bench/src/faults/injectFaults.ts
@@ -36,8 +36,11 @@
   const availableServers = cluster.servers.filter(server => !serversInRestart.has(server) && server.process.isRunning())
   const server = availableServers[pickIndex(random, availableServers.length)] as RunningServerProcess
   serversInRestart.add(server)
-  await act(server)
-  serversInRestart.delete(server)
+  try {
+    await act(server)
+  } finally {
+    serversInRestart.delete(server)
+  }
   return async () => {}
 }
 
--- a/bench/bench/src/runBench.ts
+++ b/bench/bench/src/runBench.ts
@@ -39,6 +39,10 @@
   process.stderr.write(formatCodedError(settings.error) + '\n')
   process.exit(2)
 }
+if (settings.value.printRequested) {
+  process.stdout.write(settings.value.print() + '\n')
+  process.exit(0)
+}
 const { values } = settings.value
 const selectedWorkload = workloads[values.workload]
 const workload = values.networkDelays === 'on' ? selectedWorkload : { ...selectedWorkload, roundTripMilliseconds: 0 }
--- a/core/settings/src/readSettings.ts
+++ b/core/settings/src/readSettings.ts
@@ -1,6 +1,6 @@
 // Reads the settings of a process from flags and environment variables. Each setting has one definition for its
 // flag, variable, validation and help text. A flag takes precedence over its variable.
-import { Command, Option } from 'commander'
+import { Command, CommanderError, Option } from 'commander'
 import { z } from 'zod'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { fail, succeed, type Result } from '@siskinbeam/result-codes/codedError'
@@ -41,8 +41,9 @@
 export interface ReadSettings<Definitions extends SettingDefinitions> {
   values: SettingValues<Definitions>
   sources: Record<keyof Definitions, SettingSource>
-  /** Returns the output of `--print-settings`: the value and source of each setting, with secrets masked. */
+  /** Returns the output of `--print-settings`, the value and source of each setting with secrets masked, or of `--help` or `--version`. */
   print: () => string
+  /** Whether the program was started only to print; after `--help` and `--version` there are no values. */
   printRequested: boolean
 }
 
@@ -55,10 +56,14 @@
 
 /** Reads and validates all settings; fails with the result code, key and expected value of the first invalid one. */
 export function readSettings<Definitions extends SettingDefinitions> (options: ReadSettingsOptions<Definitions>): Result<ReadSettings<Definitions>> {
-  const command = createCommand(options)
+  const output: string[] = []
+  const command = createCommand(options, text => output.push(text))
   try {
     command.parse(options.arguments, { from: 'user' })
   } catch (error) {
+    if (error instanceof CommanderError && error.exitCode === 0) {
+      return succeed({ values: {} as SettingValues<Definitions>, sources: {} as Record<keyof Definitions, SettingSource>, print: () => output.join('').trimEnd(), printRequested: true })
+    }
     return fail(ResultCode.SettingInvalid, String((error as Error).message).replace(/^error: /, ''), { key: 'flags', expected: 'flags that --help lists' })
   }
   const flags = command.opts<Record<string, string | boolean>>()
@@ -84,12 +89,12 @@
   })
 }
 
-function createCommand (options: ReadSettingsOptions<SettingDefinitions>): Command {
+function createCommand (options: ReadSettingsOptions<SettingDefinitions>, writeOutput: (text: string) => void): Command {
   const command = new Command(options.program)
     .description(options.description)
     .allowExcessArguments(false)
     .exitOverride()
-    .configureOutput({ writeErr: () => {} })
+    .configureOutput({ writeOut: writeOutput, writeErr: () => {} })
     .option('--print-settings', 'print each setting with its source, then exit')
   if (options.version !== undefined) command.version(options.version)
   Object.values(options.definitions).forEach(definition => {
--- a/core/settings/test/readSettings.test.ts
+++ b/core/settings/test/readSettings.test.ts
@@ -35,3 +35,10 @@
   assert.equal(settings.error.code, code)
   assert.equal(settings.error.key, key)
 }))
+
+test('--help prints the flags and is not an invalid setting', () => {
+  const settings = read(['--help'])
+  assert.ok(settings.ok)
+  assert.equal(settings.value.printRequested, true)
+  assert.match(settings.value.print(), /--guest-address/)
+})
--- a/stand-ins/server/src/runServer.ts
+++ b/stand-ins/server/src/runServer.ts
@@ -19,6 +19,10 @@
   process.stderr.write(formatCodedError(settings.error) + '\n')
   process.exit(2)
 }
+if (settings.value.printRequested) {
+  process.stdout.write(settings.value.print() + '\n')
+  process.exit(0)
+}
 const server = await startServer(settings.value.values)
 process.stdout.write(`ready address=${server.address} control=${server.controlAddress}\n`)
 process.on('SIGTERM', () => {
