--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -7,7 +7,7 @@
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { FurtherSendPurpose } from '@siskinbeam/retry-share/retryShare'
 import { updateCorrection } from '@siskinbeam/server-ranking/estimateCorrection'
-import { computeSaturationSlowdown, recordResponseTime, wouldBeNearSaturation, wouldExceedProductiveLoad } from '@siskinbeam/server-ranking/saturationSlowdown'
+import { recordResponseTime, wouldBeNearSaturation } from '@siskinbeam/server-ranking/saturationSlowdown'
 import type { RankedServer } from '@siskinbeam/server-ranking/rankServers'
 import type { Route } from '@siskinbeam/route-table/configuration'
 import type { ProbedServer } from '../servers/probeServers.js'
@@ -86,7 +86,6 @@
     targetLatencyMilliseconds: route.targetLatencyMilliseconds,
     remainingMilliseconds,
     priority: host.routes()?.isLessImportant(route, exchange.service) === true ? RequestPriority.Lower : RequestPriority.Highest,
-    exceedsProductiveLoad: wouldExceedProductiveLoad(occupied, load.slots, computeSaturationSlowdown(host.saturationStateOf(exchange.service))),
     hasSpareCapacity
   })
   if (!isAdmitted) {
--- a/limits/admission/src/decideAdmission.ts
+++ b/limits/admission/src/decideAdmission.ts
@@ -1,8 +1,7 @@
 // Admission control by expected latency. A request that would exceed its target latency occupies a slot that
 // could serve another request in time, so it is refused at once with a retry-after time. Requests with a higher
 // priority get a larger latency allowance. The latency counts from the guest's first attempt, so a returning request whose
-// target has passed cannot displace one that can be completed in time. A request with a lower priority leaves the
-// slots beyond a server's most productive load to requests with a higher one, which share the server. No request is refused while there is
+// target has passed cannot displace one that can be completed in time. No request is refused while there is
 // spare capacity, because an overestimated latency would otherwise never be corrected by new measurements.
 
 export enum RequestPriority {
@@ -21,8 +20,6 @@
   /** Milliseconds until the deadline of the response. */
   remainingMilliseconds: number
   priority: RequestPriority
-  /** Whether the request would bring the best server beyond the load at which it completes the most work. */
-  exceedsProductiveLoad: boolean
   /** Whether a server has a free slot and the service is not overloaded. */
   hasSpareCapacity: boolean
 }
@@ -34,8 +31,7 @@
 }
 
 /** Decides whether a request is admitted. */
-export function decideAdmission ({ estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, priority, exceedsProductiveLoad, hasSpareCapacity }: DecideAdmissionOptions): boolean {
+export function decideAdmission ({ estimatedLatencyMilliseconds, elapsedMilliseconds, targetLatencyMilliseconds, remainingMilliseconds, priority, hasSpareCapacity }: DecideAdmissionOptions): boolean {
   const limit = Math.min(remainingMilliseconds, targetLatencyFactors[priority] * targetLatencyMilliseconds - elapsedMilliseconds)
-  const leavesRoom = priority === RequestPriority.Highest || !exceedsProductiveLoad
-  return hasSpareCapacity || (estimatedLatencyMilliseconds <= limit && leavesRoom)
+  return hasSpareCapacity || estimatedLatencyMilliseconds <= limit
 }
--- a/routing/platform-comparison/src/platformHost.ts
+++ b/routing/platform-comparison/src/platformHost.ts
@@ -9,7 +9,7 @@
 import { sample, type Random } from '@siskinbeam/random/createRandom'
 import { selectServersToProbe } from '@siskinbeam/server-ranking/selectServersToProbe'
 import { createCorrectionState, updateCorrection, type CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
-import { createSaturationState, recordResponseTime, computeSaturationSlowdown, wouldBeNearSaturation, wouldExceedProductiveLoad, type SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
+import { createSaturationState, recordResponseTime, computeSaturationSlowdown, wouldBeNearSaturation, type SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
 import { rankServers, type RankedServer, type ProbedLoad } from '@siskinbeam/server-ranking/rankServers'
 import { PlatformPolicy, type PlatformScenario, type RequestKind } from './platformScenario.js'
 import type { PlatformServer } from './platformServer.js'
@@ -138,7 +138,7 @@
   const timeoutCounts = new Map(scenario.kinds.map(({ name }) => [name, createTimeoutCounts()]))
 
   const isAdmitted = ({ kind, timeoutMilliseconds }: SimulatedRequest, choice: RankedServer<ProbedPlatformServer>, elapsedMilliseconds: number, timeBeforeArrival: number): boolean => {
-    const { overload, correction, saturation } = stateOf(kind.service)
+    const { overload, correction } = stateOf(kind.service)
     const { load } = choice.server
     recordSelection(overload, wouldBeNearSaturation(load.running + load.waiting, load.slots))
     return !policiesWithAdmission.has(policy) || decideAdmission({
@@ -146,7 +146,6 @@
       elapsedMilliseconds: elapsedMilliseconds + timeBeforeArrival,
       targetLatencyMilliseconds: kind.targetLatencyMilliseconds,
       remainingMilliseconds: timeoutMilliseconds - elapsedMilliseconds,
-      exceedsProductiveLoad: wouldExceedProductiveLoad(load.running + load.waiting, load.slots, computeSaturationSlowdown(saturation)),
       priority: kind.isLessImportant ? RequestPriority.Lower : RequestPriority.Highest,
       hasSpareCapacity: choice.hasFreeSlot && !isOverloaded(overload)
     })
--- a/routing/server-ranking/src/saturationSlowdown.ts
+++ b/routing/server-ranking/src/saturationSlowdown.ts
@@ -24,16 +24,6 @@
   return occupied + 1 > nearSaturationUtilization * slots
 }
 
-/**
- * Returns whether one more request would bring a server beyond the load at which it completes the most work: all slots, or
- * the largest load below saturation if the slowdown near saturation outweighs the slots gained.
- */
-export function wouldExceedProductiveLoad (occupied: number, slots: number, saturationSlowdown: number): boolean {
-  const largestUnsaturated = Math.max(1, Math.floor(nearSaturationUtilization * slots))
-  const productiveLoad = slots / saturationSlowdown > largestUnsaturated ? slots : largestUnsaturated
-  return occupied + 1 > productiveLoad
-}
-
 /** Updates the medians with a response: whether its server was nearly saturated, and its time as a multiple of the expected service time. */
 export function recordResponseTime (state: SaturationState, nearlySaturated: boolean, multiple: number): void {
   const kind = nearlySaturated ? 'nearSaturation' : 'belowSaturation'
