--- a/daemon/entry-host/src/runEntryHost.ts
+++ b/daemon/entry-host/src/runEntryHost.ts
@@ -1,6 +1,8 @@
 #!/usr/bin/env node
 // The executable `siskinbeam`: reads the settings, starts the entry host, and shuts it down gracefully on SIGTERM and
 // SIGINT. SIGUSR2 writes the state dump to standard error.
+import { createLogger } from '@siskinbeam/logging/createLogger'
+import { surviveUnexpectedErrors } from '@siskinbeam/processes/surviveUnexpectedErrors'
 import { formatCodedError } from '@siskinbeam/result-codes/codedError'
 import { readSettings } from '@siskinbeam/settings/readSettings'
 import { entryHostSettings } from './entryHostSettings.js'
@@ -33,7 +35,9 @@
   }
   const { shutDown, dump, guestAddress, peerAddress } = running.value
   process.stdout.write(`ready guests=${guestAddress} peers=${peerAddress}\n`)
-  ;(['SIGTERM', 'SIGINT'] as const).forEach(signal => process.on(signal, () => { shutDown().then(() => process.exit(0), () => process.exit(failureExitCode)) }))
+  const shutDownAndExit = (): void => { shutDown().then(() => process.exit(0), () => process.exit(failureExitCode)) }
+  ;(['SIGTERM', 'SIGINT'] as const).forEach(signal => process.on(signal, shutDownAndExit))
+  surviveUnexpectedErrors({ source: process, logger: createLogger({ component: 'entry-host' }), now: () => performance.now(), onRepeated: shutDownAndExit })
   process.on('SIGUSR2', () => process.stderr.write(dump() + '\n'))
 } catch (error) {
   process.stderr.write(`the entry host failed to start: ${(error as Error).message}\n`)
--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -220,3 +220,16 @@
     return knownFailures().length === 1
   })
 }))
+
+test('a host that restarts after a server has left does not use it, although other hosts knew it', () => withHosts(2, 2, async (platform, servers) => {
+  const [left, remaining] = servers as [ScriptedServer, ScriptedServer]
+  platform.store.remove('servers', left.id)
+  await waitUntil('the server is gone', () => knownServers(platform).every(count => count === 1))
+  platform.hosts.splice(1, 1)[0]?.stop()
+  platform.settings.splice(1, 1)
+  await platform.startHost()
+  const address = platform.settings[1]?.guestAddress ?? ''
+  const responses = await Promise.all(Array.from({ length: 10 }, (_, index) => sendRequest(address, '/reads/7', { id: `r-${index}` })))
+  assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200))
+  assert.deepEqual([left.received.length, remaining.received.length], [0, 10])
+}))
