Don't claim "not run" of a request whose hedge may have run

Cause: found by reading. An idempotent request whose first send was declared not executed, and whose hedge broke, got 503 as "not run", since only the outcome of the send that was chosen was recorded. Ruled out for other requests: they are never hedged.

Result: the new test got 503 on the code before and gets 502 now.

--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -36,6 +36,8 @@
 const minimumRemainingRatio = 0.5
 const shortRetryAfterMilliseconds = 60
 const maximumRetryAfterMilliseconds = 400
+/** Outcomes of sends that a server may have run, for the first send as well as for a hedge that loses the race. */
+const possiblyRunOutcomes = new Set([SendOutcome.Failed, SendOutcome.Broken, SendOutcome.TimedOut])
 /** Outcomes whose duration is used to correct later estimates. */
 const calibratingOutcomes = new Set([SendOutcome.Responded, SendOutcome.TimedOut])
 
@@ -107,7 +109,6 @@
     relayResponse(exchange, received, endpoint.server.id)
   },
   [SendOutcome.Failed]: (forwarded, endpoint, { received }) => {
-    forwarded.mayHaveRun = true
     if (canRepeat(forwarded)) {
       received.rest?.discard()
       return attemptSend(forwarded)
@@ -123,12 +124,10 @@
     return attemptSend(forwarded)
   },
   [SendOutcome.Broken]: (forwarded, endpoint, { reason }) => {
-    forwarded.mayHaveRun = true
     if (canRepeat(forwarded)) return attemptSend(forwarded)
     refuse(forwarded.exchange, { code: ResultCode.ServerFailedAfterSend, reason })
   },
   [SendOutcome.TimedOut]: (forwarded, endpoint, { reason }) => {
-    forwarded.mayHaveRun = true
     refuse(forwarded.exchange, { code: ResultCode.ServerTimedOut, reason })
   },
   [SendOutcome.Cancelled]: () => {}
@@ -170,10 +169,12 @@
   return winner
 }
 
-async function sendAndRecord ({ exchange, route, tried }: ForwardedRequest, { server, estimate }: RankedServer<ProbedServer>): Promise<ServerResult> {
+async function sendAndRecord (forwarded: ForwardedRequest, { server, estimate }: RankedServer<ProbedServer>): Promise<ServerResult> {
+  const { exchange, route, tried } = forwarded
   tried.add(server.endpoint)
   const sentAt = exchange.host.now()
   const result = await sendToServer(exchange, server)
+  if (possiblyRunOutcomes.has(result.outcome)) forwarded.mayHaveRun = true
   const expectedMilliseconds = exchange.host.serviceTimes.read(route.name, route.targetLatencyMilliseconds)
   const milliseconds = exchange.host.now() - sentAt
   if (calibratingOutcomes.has(result.outcome)) updateCorrection(exchange.host.correctionStateOf(exchange.service), estimate, milliseconds)
--- a/daemon/platform-host/test/requestPath.test.ts
+++ b/daemon/platform-host/test/requestPath.test.ts
@@ -251,3 +251,17 @@
     assert.equal((await request(index)).status, 200)
   }
 }))
+
+// Regression: only the outcome of the send that was chosen counted, and the hedge that broke was forgotten.
+test('a refusal does not claim "not run" if the first send was declared not executed, but the hedge may have run', () => withServers([() => {}, () => {}], async (platform, servers, address) => {
+  let sends = 0
+  servers.forEach(server => {
+    server.script = (request, response) => {
+      sends += 1
+      if (sends === 1) setTimeout(() => notExecuted(request, response), 700)
+      else response.socket?.destroy()
+    }
+  })
+  assert.equal((await sendRequest(address, '/reads/7')).status, 502)
+  assert.equal(countReceived(servers), 2)
+}))
