Log which servers end during a send, and the fingerprint of the requests in flight

Cause: the log of the platform's program did not show that a server had ended, nor that two sends carried the same request, since each copy has an ID of its own. So the hypotheses of the crashing request could not be told apart. After a broken send the server counts as ended if its earlier connections are closed and it accepts no new ones; a full server, which resets new connections too, keeps the earlier ones. Nothing is decided by it yet.

--- a/core/random/src/hashText.ts
+++ b/core/random/src/hashText.ts
@@ -5,7 +5,10 @@
  * the last digit get similar values.
  */
 export function hashText (text: string, seed: number): number {
-  const mixed = Array.from(text).reduce((hash, character) => Math.imul(hash ^ (character.codePointAt(0) ?? 0), 0x0100_0193), 0x811c_9dc5 ^ seed)
+  return finalizeHash(Array.from(text).reduce((hash, character) => Math.imul(hash ^ (character.codePointAt(0) ?? 0), 0x0100_0193), 0x811c_9dc5 ^ seed))
+}
+
+function finalizeHash (mixed: number): number {
   const first = Math.imul(mixed ^ (mixed >>> 16), 0x85eb_ca6b)
   const second = Math.imul(first ^ (first >>> 13), 0xc2b2_ae35)
   return (second ^ (second >>> 16)) >>> 0
@@ -15,3 +18,8 @@
 export function digestText (text: string): string {
   return [0, 0x9e37_79b9].map(seed => hashText(text, seed).toString(16).padStart(8, '0')).join('')
 }
+
+/** Computes a 64-bit digest of bytes, like `digestText`. */
+export function digestBytes (bytes: Uint8Array): string {
+  return [0, 0x9e37_79b9].map(seed => finalizeHash(bytes.reduce((hash, byte) => Math.imul(hash ^ byte, 0x0100_0193), 0x811c_9dc5 ^ seed)).toString(16).padStart(8, '0')).join('')
+}
--- a/daemon/platform-host/src/guestListeners.ts
+++ b/daemon/platform-host/src/guestListeners.ts
@@ -91,6 +91,7 @@
     sends: 0,
     choiceLogFields: {},
     cancelSends: new Set(),
+    deathCheck: Promise.resolve(),
     finished: false
   }
 }
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -13,6 +13,7 @@
 import type { Permits } from './dataCentre/permits.js'
 import type { ServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import type { LimitedServers } from './servers/limitedServers.js'
+import type { ServerDeaths } from './servers/serverDeaths.js'
 import type { ServerEndpoints } from './servers/serverEndpoints.js'
 
 /** Records counters and latencies of this process. */
@@ -36,6 +37,8 @@
   endpoints: ServerEndpoints
   /** Servers that have named a limit. */
   limitedServers: LimitedServers
+  /** Sends in flight, and the detection of servers that end during them. */
+  serverDeaths: ServerDeaths
   /** Permits to contact servers that have named a limit. */
   permits: Pick<Permits, 'take' | 'isOwner'>
   isShuttingDown: () => boolean
--- a/daemon/platform-host/src/requestPath/guestExchange.ts
+++ b/daemon/platform-host/src/requestPath/guestExchange.ts
@@ -24,6 +24,8 @@
   choiceLogFields: LogFields
   /** Functions that cancel the sends in progress. */
   cancelSends: Set<() => void>
+  /** Check whether the server of the latest broken send has ended; resolved if no send broke. */
+  deathCheck: Promise<void>
   /** Set once a response has been chosen or the guest has disconnected. */
   finished: boolean
 }
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -6,6 +6,7 @@
 import type { ProbedServer } from '../servers/probeServers.js'
 import { recordSendOutcome, recordUnreachable } from '../servers/serverEndpoint.js'
 import { selectEndToEndHeaders } from './endToEndHeaders.js'
+import { fingerprintRequest } from './fingerprintRequest.js'
 import type { GuestExchange } from './guestExchange.js'
 
 /** Outcome of a send. */
@@ -59,6 +60,8 @@
   endpoint.inFlight += 1
   exchange.sends += 1
   const sentAt = host.now()
+  const send = { exchange, sentAt }
+  host.serverDeaths.recordStart(endpoint, send)
   const result = await connection.runExchange({
     method: request.method ?? 'GET',
     path: request.url ?? '/',
@@ -79,6 +82,8 @@
   cancels.forEach(cancel => exchange.cancelSends.delete(cancel))
   recordLimit(exchange, endpoint.server, purpose, result, sentAt)
   const sent = classify(result)
+  if (result.outcome === ExchangeOutcome.Broken) exchange.deathCheck = host.serverDeaths.recordBreak(endpoint, send)
+  else host.serverDeaths.recordEnd(endpoint, send)
   host.metrics.count(`sends_total{outcome="${sent.outcome}"}`)
   if (sent.outcome === SendOutcome.Responded) host.metrics.recordMilliseconds('server_answer', host.now() - sentAt)
   recordOutcome(exchange, probed, sent)
@@ -136,6 +141,7 @@
     address: endpoint.server.address,
     outcome: sent.outcome,
     reason: 'reason' in sent ? sent.reason : `status ${sent.received.status}`,
+    fingerprint: sent.outcome === SendOutcome.Broken ? fingerprintRequest(exchange) : undefined,
     failureShare: Number(endpoint.failureRatio.toFixed(2)),
     millisecondsLeft: Math.round(exchange.deadlineAt - host.now())
   })
--- a/daemon/platform-host/src/servers/serverConnection.ts
+++ b/daemon/platform-host/src/servers/serverConnection.ts
@@ -56,6 +56,8 @@
   runExchange: (exchange: ServerExchange) => Promise<ExchangeResult>
   /** Whether an earlier exchange has ended on this connection. */
   wasUsed: () => boolean
+  /** Whether the connection was established before a time on the monotonic clock, and is still open. */
+  isOpenSince: (time: number) => boolean
   close: () => void
 }
 
@@ -66,6 +68,8 @@
   onClosed: (connection: ServerConnection) => void
   /** Called for each new socket. */
   onOpened: () => void
+  /** Milliseconds of the monotonic clock. */
+  now: () => number
 }
 
 /** Responses up to this size are buffered until they are complete, so that the request can be retried if one is cut off. */
@@ -79,6 +83,7 @@
   const agent = new Agent({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 })
   const { host, port } = splitAddress(options.address)
   let currentSocket: Socket | undefined
+  let connectedAt = Infinity
   let busy = false
   let closed = false
 
@@ -127,7 +132,12 @@
       trackSocket(socket)
       expectResponse(socket, { maximumHeadBytes, hasBody: exchange.method !== 'HEAD', onViolation: violation => fail(new Error(describeViolation(violation))) })
       if (!socket.connecting) connected = true
-      else socket.once('connect', () => { connected = true })
+      else {
+        socket.once('connect', () => {
+          connected = true
+          connectedAt = options.now()
+        })
+      }
     })
     request.on('error', fail)
     request.once('response', response => {
@@ -190,6 +200,6 @@
     else if (!closed) options.onIdle(connection)
   }
 
-  const connection: ServerConnection = { runExchange, wasUsed: () => currentSocket !== undefined, close }
+  const connection: ServerConnection = { runExchange, wasUsed: () => currentSocket !== undefined, isOpenSince: time => connectedAt < time && currentSocket?.destroyed === false, close }
   return connection
 }
--- /dev/null
+++ b/daemon/platform-host/src/servers/serverDeaths.ts
@@ -0,0 +1,101 @@
+// Detects that a server has ended while requests were in flight on it. After a send whose connection broke, the server counts as
+// ended if all its earlier connections are closed and it accepts no new ones. A server that resets new connections since it is full
+// keeps the earlier ones, and one that leaves as planned announces that.
+import { connect } from 'node:net'
+import { splitAddress } from '@siskinbeam/settings/splitAddress'
+import type { GuestExchange } from '../requestPath/guestExchange.js'
+import type { ServerEndpoint } from './serverEndpoint.js'
+
+/** A request that was written to a server. */
+export interface OpenSend {
+  exchange: GuestExchange
+  /** Milliseconds of the monotonic clock. */
+  sentAt: number
+}
+
+/** A server that ended, with the requests that were in flight on it. */
+export interface ServerDeath {
+  endpoint: ServerEndpoint
+  /** When the connection of the first send broke, in milliseconds of the monotonic clock. */
+  at: number
+  inFlight: OpenSend[]
+}
+
+export interface ServerDeaths {
+  recordStart: (endpoint: ServerEndpoint, send: OpenSend) => void
+  /** Records the end of a send that did not break. */
+  recordEnd: (endpoint: ServerEndpoint, send: OpenSend) => void
+  /** Checks the server of a send that broke. Resolves once the check and the handling of a death are complete. */
+  recordBreak: (endpoint: ServerEndpoint, send: OpenSend) => Promise<void>
+}
+
+export interface CreateServerDeathsOptions {
+  now: () => number
+  /** Called for each server that ended. Checks of its sends are complete once this resolves. */
+  onDeath: (death: ServerDeath) => Promise<void>
+}
+
+interface ServerSends {
+  open: Set<OpenSend>
+  broken: Array<{ send: OpenSend, at: number }>
+  pendingCheck: Promise<void> | undefined
+}
+
+/** Connections of a process that ends are closed one after the other, and its listening socket last. */
+const closeDelayMilliseconds = 5
+/** Sends that broke within this time before a check were in flight when the server ended. */
+const breakWindowMilliseconds = 1_000
+/** A connection that is reset right after it was accepted leads to no server. */
+const acceptedMilliseconds = 25
+/** Without an answer for this time, the server may be alive behind a broken path. */
+const connectTimeoutMilliseconds = 250
+
+/** Creates a record without sends. */
+export function createServerDeaths ({ now, onDeath }: CreateServerDeathsOptions): ServerDeaths {
+  const sendsOf = new WeakMap<ServerEndpoint, ServerSends>()
+  const findSends = (endpoint: ServerEndpoint): ServerSends => {
+    const sends = sendsOf.get(endpoint) ?? { open: new Set(), broken: [], pendingCheck: undefined }
+    sendsOf.set(endpoint, sends)
+    return sends
+  }
+  const listRecentBreaks = ({ broken }: ServerSends): ServerSends['broken'] => broken.filter(({ at }) => now() - at < breakWindowMilliseconds)
+
+  const check = async (endpoint: ServerEndpoint, sends: ServerSends, brokenAt: number): Promise<void> => {
+    await new Promise(resolve => setTimeout(resolve, closeDelayMilliseconds))
+    if (!endpoint.acceptsRequests() || endpoint.hasConnectionSince(brokenAt) || await acceptsConnections(endpoint.server.address)) return
+    const breaks = listRecentBreaks(sends)
+    sends.broken = []
+    const at = Math.min(brokenAt, ...breaks.map(each => each.at))
+    await onDeath({ endpoint, at, inFlight: [...new Set([...breaks.map(({ send }) => send), ...sends.open])] })
+  }
+
+  return {
+    recordStart: (endpoint, send) => { findSends(endpoint).open.add(send) },
+    recordEnd: (endpoint, send) => { findSends(endpoint).open.delete(send) },
+    recordBreak: (endpoint, send) => {
+      const sends = findSends(endpoint)
+      sends.open.delete(send)
+      sends.broken = [...listRecentBreaks(sends), { send, at: now() }]
+      sends.pendingCheck ??= check(endpoint, sends, now()).finally(() => { sends.pendingCheck = undefined })
+      return sends.pendingCheck
+    }
+  }
+}
+
+function acceptsConnections (address: string): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = connect(splitAddress(address))
+    const finish = (accepts: boolean): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(accepts)
+    }
+    let timer = setTimeout(finish, connectTimeoutMilliseconds, true)
+    socket.on('connect', () => {
+      clearTimeout(timer)
+      timer = setTimeout(finish, acceptedMilliseconds, true)
+    })
+    socket.on('error', () => finish(false))
+    socket.on('close', () => finish(false))
+  })
+}
--- a/daemon/platform-host/src/servers/serverEndpoint.ts
+++ b/daemon/platform-host/src/servers/serverEndpoint.ts
@@ -19,13 +19,15 @@
   /** Returns the wanted connection if it is idle, otherwise another idle or a new connection. */
   acquireConnection: (wanted?: ServerConnection) => ServerConnection
   openConnection: () => ServerConnection
+  /** Whether a connection that was established before a time on the monotonic clock is still open. */
+  hasConnectionSince: (time: number) => boolean
   update: (server: RegisteredServer, now: number) => void
   close: () => void
 }
 
 export interface CreateServerEndpointOptions {
   server: RegisteredServer
-  now: number
+  now: () => number
   onConnectionOpened: () => void
 }
 
@@ -39,6 +41,7 @@
 /** Creates the state of a server without connections. */
 export function createServerEndpoint (options: CreateServerEndpointOptions): ServerEndpoint {
   const idle: ServerConnection[] = []
+  const connections = new Set<ServerConnection>()
   let closed = false
   const removeIdle = (connection: ServerConnection): void => {
     const index = idle.indexOf(connection)
@@ -55,19 +58,28 @@
     failureRatio: 0,
     backoffUntil: -Infinity,
     consecutiveFailures: 0,
-    warmUpUntil: options.now + options.server.warmUpMilliseconds,
+    warmUpUntil: options.now() + options.server.warmUpMilliseconds,
     preferred: true,
     acceptsRequests: () => !closed && endpoint.server.state === ServerState.Ready,
     acquireConnection: wanted => acquireIdle(wanted) ?? endpoint.openConnection(),
-    openConnection: () => createServerConnection({
-      address: endpoint.server.address,
-      onIdle: connection => {
-        if (endpoint.acceptsRequests()) idle.push(connection)
-        else connection.close()
-      },
-      onClosed: removeIdle,
-      onOpened: options.onConnectionOpened
-    }),
+    openConnection: () => {
+      const connection = createServerConnection({
+        address: endpoint.server.address,
+        onIdle: () => {
+          if (endpoint.acceptsRequests()) idle.push(connection)
+          else connection.close()
+        },
+        onClosed: () => {
+          connections.delete(connection)
+          removeIdle(connection)
+        },
+        onOpened: options.onConnectionOpened,
+        now: options.now
+      })
+      connections.add(connection)
+      return connection
+    },
+    hasConnectionSince: time => [...connections].some(connection => connection.isOpenSince(time)),
     update: (server, now) => {
       endpoint.server = server
       endpoint.warmUpUntil = now + server.warmUpMilliseconds
--- a/daemon/platform-host/src/servers/serverEndpoints.ts
+++ b/daemon/platform-host/src/servers/serverEndpoints.ts
@@ -58,7 +58,7 @@
       removeFromService(existing)
     }
     if (server !== undefined) {
-      const endpoint = createServerEndpoint({ server, now: options.now(), onConnectionOpened: options.onConnectionOpened })
+      const endpoint = createServerEndpoint({ server, now: options.now, onConnectionOpened: options.onConnectionOpened })
       endpoints.set(id, endpoint)
       addToService(endpoint)
     }
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -32,8 +32,10 @@
 import { createAddressListener, createGuestListener, createReadinessListener } from './guestListeners.js'
 import { createOperatorServer } from '@siskinbeam/metrics/createOperatorServer'
 import type { PlatformHost, ShutdownTimes } from './platformHost.js'
+import { fingerprintRequest } from './requestPath/fingerprintRequest.js'
 import { createServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import { createLimitedServers } from './servers/limitedServers.js'
+import { createServerDeaths, type ServerDeath } from './servers/serverDeaths.js'
 import { createServerEndpoints } from './servers/serverEndpoints.js'
 
 export interface StartPlatformHostOptions {
@@ -100,6 +102,7 @@
     routes: () => view.routes(),
     endpoints,
     limitedServers: createLimitedServers({ logger, count: metrics.count, now, findServer: id => view.registry.servers.get(id)?.server, onChange: () => peerServer.answerChanged() }),
+    serverDeaths: createServerDeaths({ now, onDeath: async death => { reportDeath(logger, metrics.count, death) } }),
     permits: { take: wish => permits.take(wish), isOwner: service => permits.isOwner(service) },
     isShuttingDown: () => shuttingDown,
     shutdownTimes: () => shutdownTimes,
@@ -259,6 +262,18 @@
   }
 }
 
+function reportDeath (logger: Logger, count: (metric: string) => void, { endpoint: { server }, inFlight }: ServerDeath): void {
+  count('server_deaths_total')
+  logger.warn('server died', {
+    server: server.id,
+    address: server.address,
+    service: server.service,
+    born: server.boot,
+    requests: inFlight.map(({ exchange }) => exchange.requestId).join(','),
+    fingerprints: inFlight.map(({ exchange }) => fingerprintRequest(exchange)).join(',')
+  })
+}
+
 /** Returns a function that creates the state of a name at its first use and returns the same one afterwards. */
 function memoizeByName<State> (create: () => State): (name: string) => State {
   const states = new Map<string, State>()
