--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -34,6 +34,8 @@
   /** When requests and health checks arrived, in milliseconds of the monotonic clock. */
   contacts: number[]
   sockets: Set<Socket>
+  /** Whether new connections are reset, as by a host without a listener on the port. */
+  resetsConnections: boolean
   /** Takes the next request that arrives on a used connection, once. */
   onIdleRequest: ((socket: Socket) => void) | undefined
   stop: () => void
@@ -51,7 +53,7 @@
 /** Starts a server on a free port. */
 export async function startServer (script: ServerScript = respondNormally): Promise<ScriptedServer> {
   serverCount += 1
-  const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, limit: undefined, contacts: [], sockets: new Set(), onIdleRequest: undefined, stop: () => {} }
+  const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, limit: undefined, contacts: [], sockets: new Set(), resetsConnections: false, onIdleRequest: undefined, stop: () => {} }
   const usedSockets = new WeakSet<Socket>()
   const listener = createHttpServer((request, response) => {
     server.contacts.push(performance.now())
@@ -77,8 +79,12 @@
     })
   })
   listener.on('connection', socket => {
-    server.sockets.add(socket)
     socket.on('error', () => {})
+    if (server.resetsConnections) {
+      socket.resetAndDestroy()
+      return
+    }
+    server.sockets.add(socket)
     socket.on('close', () => server.sockets.delete(socket))
   })
   server.address = await new Promise(resolve => listener.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${(listener.address() as AddressInfo).port}`)))
