Refuse requests that crash servers at all hosts of the users' platform

Cause: the program on the platform had no detection of such requests; limits/crash-suspects served the own interface only. Ruled out: detection by each host alone (no state connected two copies even on one host), and retries as the only cause (a POST isn't retried and crashed 27 servers). After a broken send the host checks whether the server has ended, and writes the fingerprints of the requests in flight to the store, before the guest gets its 502. The hosts that watch the store pass them on, and a host that can't reach the store reports to its source. It works since the evidence is where each host in touch reads it, also one that has just started.

--- a/daemon/platform-host/src/dataCentre/joinDataCentre.ts
+++ b/daemon/platform-host/src/dataCentre/joinDataCentre.ts
@@ -61,7 +61,7 @@
   }
 
   const registerHost = async (): Promise<void> => {
-    const { outcome } = await store.writeRow(Table.EntryHosts, settings.dataCentre, settings.host, sourceSelection.own)
+    const { outcome } = await store.writeRows(Table.EntryHosts, settings.dataCentre, [{ key: settings.host, value: sourceSelection.own }])
     registered = outcome === StoreOutcome.Done
   }
 
--- a/daemon/platform-host/src/dataCentre/peerClient.ts
+++ b/daemon/platform-host/src/dataCentre/peerClient.ts
@@ -39,11 +39,13 @@
 /** Timeout of a call for a permit, for which a guest waits. */
 const permitTimeoutMilliseconds = 150
 const maximumPermitConnections = 4
+/** Bounds the size of a call. */
+const maximumReportedSuspects = 32
 
 /** Creates the client. */
 export function createPeerClient ({ host, sourceSelection, own, view, members }: CreatePeerClientOptions): PeerClient {
   const senders = new Map<string, HttpSender>()
-  let sourceState = { boot: '', registryRevision: 0, membersRevision: 0, limitsRevision: 0 }
+  let sourceState = { boot: '', registryRevision: 0, membersRevision: 0, limitsRevision: 0, crashesRevision: 0 }
 
   const permitSenders = new Map<string, HttpSender>()
 
@@ -75,18 +77,20 @@
     if (servers !== undefined) view.applyServers(servers, from)
     addHosts(sourceSelection, (membersUpdate?.members ?? []).filter(({ dataCentre }) => dataCentre === host.settings.dataCentre))
     // Only the revisions of the source are stored; revisions of other hosts are not comparable and would overwrite them.
+    if (reply.crashSuspects !== undefined) host.crashes.applySuspects(reply.crashSuspects, from)
     if (!follows) return
     host.failureReports.applyFailing(reply.failingServers ?? [])
     host.limitedServers.applyReports(reply.limits ?? [], from)
     if (membersUpdate === undefined) members.renewAll()
     else members.applyUpdate(membersUpdate)
-    sourceState = { boot: reply.boot, registryRevision: reply.registryRevision, membersRevision: reply.membersRevision, limitsRevision: reply.limitsRevision }
+    sourceState = { boot: reply.boot, registryRevision: reply.registryRevision, membersRevision: reply.membersRevision, limitsRevision: reply.limitsRevision, crashesRevision: reply.crashesRevision }
   }
 
   return {
     sync: async ({ address, name, waitMilliseconds, follows }) => {
       const sendReport = follows ? host.failureReports.takeReport() : []
       const limits = follows ? host.limitedServers.takeReports() : []
+      const crashSuspects = follows ? host.crashes.describe(host.crashRows.listUnwritten().slice(0, maximumReportedSuspects)) : []
       const reply = await send<SyncReply>(address, syncPath, {
         member: own(),
         configurationVersion: view.routes()?.configuration.version ?? 0,
@@ -97,6 +101,8 @@
         membersDigest: members.digest(),
         limitsRevision: sourceState.limitsRevision,
         ...(limits.length === 0 ? {} : { limits }),
+        crashesRevision: sourceState.crashesRevision,
+        ...(crashSuspects.length === 0 ? {} : { crashSuspects }),
         waitMilliseconds,
         follows,
         ...(sendReport.length === 0 ? {} : { sendReport })
--- a/daemon/platform-host/src/dataCentre/peerMessages.ts
+++ b/daemon/platform-host/src/dataCentre/peerMessages.ts
@@ -1,6 +1,7 @@
 // Messages between entry hosts, sent as unary calls with JSON bodies.
 import { gunzipSync, gzipSync } from 'node:zlib'
 import type { Configuration } from '@siskinbeam/route-table/configuration'
+import type { SuspectReport } from '@siskinbeam/crash-suspects/crashTypes'
 import type { FailingServer } from '@siskinbeam/failure-evidence/failureEvidence'
 import type { RelayedUpdate } from '@siskinbeam/server-registry/serverRegistry'
 import type { KnownHost } from '@siskinbeam/watch-duty/sourceSelection'
@@ -41,6 +42,10 @@
   limits?: ReportedLimit[]
   /** Revision of the called host's limits that the caller has. */
   limitsRevision: number
+  /** Crash suspects that the caller could not write to the store; absent if there are none. */
+  crashSuspects?: SuspectReport[]
+  /** Revision of the called host's crash suspects that the caller has. */
+  crashesRevision: number
   /** Outcomes of the caller's sends since its last report; absent if there are none. */
   sendReport?: ReportedSends[]
 }
@@ -56,6 +61,9 @@
   limitsRevision: number
   /** What is known of all limits, if that is new to the caller. */
   limits?: ReportedLimit[]
+  crashesRevision: number
+  /** Crash suspects that are new to the caller; absent if there are none. */
+  crashSuspects?: SuspectReport[]
   /** Servers that several hosts have seen failing; absent if there are none. */
   failingServers?: FailingServer[]
   /** Changes that are new to the caller, encoded by `encodeViewUpdate`; absent if there are none. */
--- a/daemon/platform-host/src/dataCentre/peerServer.ts
+++ b/daemon/platform-host/src/dataCentre/peerServer.ts
@@ -40,6 +40,7 @@
   registryRevision: number
   membersRevision: number
   limitsRevision: number
+  crashesRevision: number
 }
 
 const maximumHeadBytes = 32_768
@@ -69,7 +70,8 @@
       registryRevision: isKnown ? request.registryRevision : request.registryDigest === digestServers(view.registry) ? view.registry.revision : 0,
       // If the digests differ at the same revision, the caller did not apply the list as it was sent and gets it again.
       membersRevision: isSameList ? members.revision() : membersRevision === members.revision() ? 0 : membersRevision,
-      limitsRevision: isKnown ? request.limitsRevision : 0
+      limitsRevision: isKnown ? request.limitsRevision : 0,
+      crashesRevision: isKnown ? request.crashesRevision : 0
     }
   }
 
@@ -89,8 +91,9 @@
   const hasNewServers = (caller: CallerState): boolean => view.registry.version > 0 && view.registry.revision !== caller.registryRevision
   const hasNewMembers = (caller: CallerState): boolean => members.revision() !== caller.membersRevision
   const hasNewLimits = (caller: CallerState): boolean => host.limitedServers.revision() !== caller.limitsRevision
+  const hasNewCrashes = (caller: CallerState): boolean => host.crashes.revision() !== caller.crashesRevision
   const hasNews = (caller: CallerState): boolean => hasNewConfiguration(caller) || hasNewServers(caller) || hasNewMembers(caller)
-  const hasChanges = (caller: CallerState): boolean => hasNews(caller) || hasNewLimits(caller)
+  const hasChanges = (caller: CallerState): boolean => hasNews(caller) || hasNewLimits(caller) || hasNewCrashes(caller)
 
   const createReply = (caller: CallerState): SyncReply => {
     const failingSince = options.failingSince()
@@ -102,6 +105,8 @@
       registryRevision: view.registry.revision,
       membersRevision: members.revision(),
       limitsRevision: host.limitedServers.revision(),
+      crashesRevision: host.crashes.revision(),
+      ...(hasNewCrashes(caller) ? { crashSuspects: host.crashes.describeSince(caller.crashesRevision) } : {}),
       ...(hasNewLimits(caller) ? { limits: host.limitedServers.describeAll() } : {}),
       ...(failingServers.length === 0 ? {} : { failingServers }),
       ...(hasNews(caller) ? { news: encodeUpdate(caller) } : {})
@@ -113,6 +118,7 @@
     options.onCall(request.member, request.follows)
     host.failureReports.addReport(request.member.name, (request.sendReport ?? []).filter(isSendReport))
     host.limitedServers.applyReports((request.limits ?? []).filter(isReportedLimit), request.member.name)
+    if (request.crashSuspects !== undefined) storeSuspects(request)
     const caller = readCallerState(request)
     const reply = (): void => {
       clearTimeout(timer)
@@ -131,10 +137,15 @@
     })
     pendingCalls.add(replyIfChanged)
     // Changes of the member list are batched.
-    if (hasNewConfiguration(caller) || hasNewServers(caller) || hasNewLimits(caller) || caller.membersRevision === 0) reply()
+    if (hasNewConfiguration(caller) || hasNewServers(caller) || hasNewLimits(caller) || hasNewCrashes(caller) || caller.membersRevision === 0) reply()
     else scheduleAnswers()
   }
 
+  /** Stores suspects for a host that can't reach the store. */
+  const storeSuspects = ({ crashSuspects, member }: SyncRequest): void => {
+    host.crashRows.write(host.crashes.applySuspects(crashSuspects, member.name)).catch((error: unknown) => host.logger.warn('crash suspects not stored', { reason: String(error) }))
+  }
+
   const answerIntroduction = ({ member }: IntroduceRequest, response: ServerResponse): void => {
     const { own, others } = listCandidates(member)
     recordIntroduction(options.introductions, member.dataCentre, member, host.now())
--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -49,12 +49,17 @@
 const longPollMilliseconds = 2_000
 /** Changes in quick succession are batched for this time. */
 const batchMilliseconds = 350
+/** A crashing request may come again at once. */
+const crashBatchMilliseconds = 50
 const idlePollMilliseconds = 100
 const initialRetryMilliseconds = 75
 const maximumRetryMilliseconds = 800
 /** Entries of servers may expire during an outage that lasts longer than this. */
 const minimumOutageMilliseconds = 1_000
 const connectionCheckMilliseconds = 400
+const crashRowCheckMilliseconds = 1_000
+/** Tables without which a host serves no requests. */
+const initialTables = new Set([Table.Operator, Table.Servers])
 
 /** Creates the watch, which is started separately. */
 export function watchStore ({ host, view, store, isNeeded, onFailing }: WatchStoreOptions): StoreWatch {
@@ -79,6 +84,14 @@
       failingSince: undefined,
       lostAt: undefined,
       apply: (rows, whole, version) => view.applyServers({ whole, version, changes: rows.map(parseServerRow) }, 'store')
+    },
+    {
+      table: Table.CrashSuspects,
+      version: 0,
+      confirmedAt: -Infinity,
+      failingSince: undefined,
+      lostAt: undefined,
+      apply: rows => host.crashRows.apply(rows)
     }
   ]
   let connectionFailingSince: number | undefined
@@ -137,7 +150,7 @@
       failures = reply.outcome === StoreOutcome.Done ? 0 : failures + 1
       if (failures > 0) yield sleep(Math.min(maximumRetryMilliseconds, initialRetryMilliseconds * 2 ** failures) * (0.7 + 0.6 * host.random()))
       // Prevents a busy loop if the change feed responds at once without any rows.
-      else if (now() - calledAt < longPollMilliseconds / 2) yield sleep(batchMilliseconds)
+      else if (now() - calledAt < longPollMilliseconds / 2) yield sleep(watch.table === Table.CrashSuspects ? crashBatchMilliseconds : batchMilliseconds)
     }
   }
 
@@ -154,6 +167,13 @@
     }
   }
 
+  function * removeExpiredCrashRows (): ProcessBody {
+    for (;;) {
+      yield sleep(crashRowCheckMilliseconds)
+      if (isNeeded()) host.crashRows.removeExpired()
+    }
+  }
+
   function * applyHeldRemovals (): ProcessBody {
     for (;;) {
       yield sleep(idlePollMilliseconds)
@@ -167,16 +187,17 @@
       processes = [
         ...watches.map(watch => superviseProcess({ name: `watch ${watch.table}`, logger, body: () => runWatch(watch) })),
         superviseProcess({ name: 'check connection', logger, body: checkConnection }),
-        superviseProcess({ name: 'apply held removals', logger, body: applyHeldRemovals })
+        superviseProcess({ name: 'apply held removals', logger, body: applyHeldRemovals }),
+        superviseProcess({ name: 'remove expired crash rows', logger, body: removeExpiredCrashRows })
       ]
     },
     load: () => {
       logger.info('view loaded on demand', { milliseconds: Math.round(now() - host.startedAt) })
-      watches.filter(({ version }) => version === 0).forEach(watch => {
+      watches.filter(({ table, version }) => initialTables.has(table) && version === 0).forEach(watch => {
         loadTable(watch).catch((error: unknown) => logger.warn('loading a table failed', { table: watch.table, reason: String(error) }))
       })
     },
-    confirmedAt: () => Math.min(...watches.map(({ confirmedAt }) => confirmedAt)),
+    confirmedAt: () => Math.min(...watches.filter(({ table }) => initialTables.has(table)).map(({ confirmedAt }) => confirmedAt)),
     failingSince: () => {
       const times = [...watches.map(({ failingSince }) => failingSince), connectionFailingSince].filter(time => time !== undefined)
       return times.length === 0 ? undefined : Math.min(...times)
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -8,6 +8,8 @@
 import type { FurtherSendPurpose } from '@siskinbeam/retry-share/retryShare'
 import type { CorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
 import type { SaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
+import type { CrashDetection } from './crashes/crashDetection.js'
+import type { CrashRows } from './crashes/crashRows.js'
 import type { FailureReports } from './dataCentre/failureReports.js'
 import type { InitialView } from './dataCentre/initialView.js'
 import type { Permits } from './dataCentre/permits.js'
@@ -37,6 +39,9 @@
   endpoints: ServerEndpoints
   /** Servers that have named a limit. */
   limitedServers: LimitedServers
+  /** Requests that crash the servers that run them. */
+  crashes: CrashDetection
+  crashRows: CrashRows
   /** Sends in flight, and the detection of servers that end during them. */
   serverDeaths: ServerDeaths
   /** Permits to contact servers that have named a limit. */
--- a/daemon/platform-host/src/requestPath/chooseProbedServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseProbedServer.ts
@@ -11,6 +11,8 @@
   /** Servers that this request has already been sent to. */
   tried: ReadonlySet<ServerEndpoint>
   serviceTimeMilliseconds: number
+  /** Address of the only server that is wanted; undefined if any will do. */
+  onlyAddress?: string | undefined
   /** Maximum number of rounds of probes. */
   rounds: number
 }
@@ -33,7 +35,7 @@
   const probeRound = async (round: number, earlier: ProbedServer[]): Promise<RankedServer<ProbedServer> | undefined> => {
     const now = host.now()
     const candidates = host.endpoints.listService(exchange.service)
-      .filter(endpoint => endpoint.acceptsRequests() && !probed.has(endpoint) && host.limitedServers.find(endpoint.server) === undefined)
+      .filter(endpoint => endpoint.acceptsRequests() && !probed.has(endpoint) && host.limitedServers.find(endpoint.server) === undefined && (options.onlyAddress === undefined || endpoint.server.address === options.onlyAddress))
       .map(endpoint => ({ endpoint, sameDataCentre: endpoint.server.dataCentre === host.settings.dataCentre, preferred: endpoint.preferred, avoided: endpoint.backoffUntil > now }))
     const endpoints = selectServersToProbe({ candidates, round, random: host.random }).map(({ endpoint }) => endpoint)
     endpoints.forEach(endpoint => probed.add(endpoint))
--- a/daemon/platform-host/src/requestPath/chooseServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseServer.ts
@@ -25,6 +25,7 @@
 /** Chooses the server. */
 export async function chooseServer (options: ChooseProbedServerOptions): Promise<ServerChoice> {
   const { exchange, tried, serviceTimeMilliseconds } = options
+  if (options.onlyAddress !== undefined) return { choice: await chooseProbedServer(options), retryAfterMilliseconds: undefined }
   const due = exchange.sends === 0 ? listLimited(exchange, tried).find(endpoint => isTrialDue(endpoint, exchange)) : undefined
   const trial = due === undefined ? undefined : await choosePermitted(options, due)
   if (trial?.choice !== undefined) return trial
--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -13,6 +13,7 @@
 import type { Route } from '@siskinbeam/route-table/configuration'
 import type { ProbedServer } from '../servers/probeServers.js'
 import type { ServerEndpoint } from '../servers/serverEndpoint.js'
+import { awaitSuspectDecision, isRefusedNow } from './awaitSuspectDecision.js'
 import { chooseServer } from './chooseServer.js'
 import type { Filter, GuestExchange } from './guestExchange.js'
 import { refuse } from './refuse.js'
@@ -37,6 +38,8 @@
 const minimumRemainingRatio = 0.5
 const shortRetryAfterMilliseconds = 60
 const maximumRetryAfterMilliseconds = 400
+/** A check takes a few milliseconds, and so does the write that shares its result. */
+const maximumDeathCheckMilliseconds = 150
 /** Outcomes of sends that a server may have run, for the first send as well as for a hedge that loses the race. */
 const possiblyRunOutcomes = new Set([SendOutcome.Failed, SendOutcome.Broken, SendOutcome.TimedOut])
 /** Outcomes whose duration is used to correct later estimates. */
@@ -60,8 +63,13 @@
     refuseNotRun(forwarded, ResultCode.HostLeaving, 'host is shutting down', 0)
     return
   }
+  const suspect = await awaitSuspectDecision(exchange)
+  if (suspect.isRefused) {
+    refuseSuspect(forwarded)
+    return
+  }
   const serviceTimeMilliseconds = host.serviceTimes.read(route.name, route.targetLatencyMilliseconds)
-  const { choice, retryAfterMilliseconds: limitRetryAfterMilliseconds } = await chooseServer({ exchange, tried, serviceTimeMilliseconds, rounds: maximumProbeRounds })
+  const { choice, retryAfterMilliseconds: limitRetryAfterMilliseconds } = await chooseServer({ exchange, tried, serviceTimeMilliseconds, onlyAddress: suspect.onlyAddress, rounds: maximumProbeRounds })
   if (exchange.finished) return
   const remainingMilliseconds = exchange.deadlineAt - host.now()
   if (choice === undefined && limitRetryAfterMilliseconds !== undefined) {
@@ -106,6 +114,11 @@
     refuseNotRun(forwarded, ResultCode.Overloaded, `best server would need an estimated ${Math.round(estimatedLatencyMilliseconds)} of ${Math.round(remainingMilliseconds)} ms`, retryAfterMilliseconds)
     return
   }
+  // Another host may have reported a death while the servers were probed.
+  if (isRefusedNow(exchange)) {
+    refuseSuspect(forwarded)
+    return
+  }
   if (exchange.sends === 0) host.retryBudgets.recordFirstSend(exchange.service)
   const { endpoint, result } = await sendAndHedge(forwarded, choice)
   await outcomeHandlers[result.outcome](forwarded, endpoint, result as never)
@@ -132,8 +145,11 @@
     forwarded.exchange.sends -= 1
     return attemptSend(forwarded)
   },
-  [SendOutcome.Broken]: (forwarded, endpoint, { reason }) => {
+  [SendOutcome.Broken]: async (forwarded, endpoint, { reason }) => {
+    if (forwarded.exchange.sends > 1) await awaitDeathCheck(forwarded.exchange)
     if (canRepeat(forwarded)) return attemptSend(forwarded)
+    // Guests repeat failed requests, so the other hosts have to learn of a server's death first.
+    await awaitDeathCheck(forwarded.exchange)
     refuse(forwarded.exchange, { code: ResultCode.ServerFailedAfterSend, reason })
   },
   [SendOutcome.TimedOut]: (forwarded, endpoint, { reason }) => {
@@ -142,6 +158,19 @@
   [SendOutcome.Cancelled]: () => {}
 }
 
+/** Refuses a request that has crashed servers until it is forgotten. */
+function refuseSuspect (forwarded: ForwardedRequest): void {
+  const { host } = forwarded.exchange
+  host.metrics.count('crash_suspects_refused_total')
+  refuseNotRun(forwarded, ResultCode.CrashSuspect, 'servers ended while they ran this request', host.crashes.readRefusalMilliseconds(forwarded.exchange))
+}
+
+async function awaitDeathCheck ({ deathCheck }: GuestExchange): Promise<void> {
+  let timer: NodeJS.Timeout | undefined
+  await Promise.race([deathCheck, new Promise<void>(resolve => { timer = setTimeout(resolve, maximumDeathCheckMilliseconds) })])
+  clearTimeout(timer)
+}
+
 /** Refuses a request as not run, or as possibly run if a server may have started it. */
 function refuseNotRun ({ exchange, mayHaveRun }: ForwardedRequest, code: ResultCode, reason: string, retryAfterMilliseconds: number): void {
   refuse(exchange, { code: mayHaveRun ? ResultCode.ServerFailedAfterSend : code, reason, retryAfterMilliseconds })
--- a/daemon/platform-host/src/requestPath/hedgeRequest.ts
+++ b/daemon/platform-host/src/requestPath/hedgeRequest.ts
@@ -50,7 +50,7 @@
   let stopped = false
   let sent = false
   let stop = (): void => { stopped = true }
-  const canHedge = (): boolean => !stopped && !exchange.finished && exchange.sends < route.maximumAttempts && exchange.deadlineAt - host.now() > serviceTimeMilliseconds
+  const canHedge = (): boolean => !stopped && !exchange.finished && exchange.sends < route.maximumAttempts && !host.crashes.isSuspect(exchange) && exchange.deadlineAt - host.now() > serviceTimeMilliseconds
   const isUseful = (choice: RankedServer<ProbedServer> | undefined): choice is RankedServer<ProbedServer> => {
     if (choice === undefined || !choice.hasFreeSlot || isOverloaded(host.overloadStateOf(exchange.service))) return false
     const { running, waiting, slots } = choice.server.load
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -1,12 +1,13 @@
 // Sends a request to one server and classifies the result by whether the request was run.
 import { reservedRequestHeaders, readResponseMetadata, formatServerHeaders } from '@siskinbeam/platform-adapter/serverProtocol'
+import { fingerprintRequest } from '../crashes/fingerprintRequest.js'
 import { ExchangeOutcome, type ExchangeResult, type ReceivedResponse } from '../servers/serverConnection.js'
 import type { RegisteredServer } from '@siskinbeam/server-registry/serverRegistry'
 import { ContactPurpose } from '../servers/limitedServers.js'
 import type { ProbedServer } from '../servers/probeServers.js'
-import { recordSendOutcome, recordUnreachable } from '../servers/serverEndpoint.js'
+import type { OpenSend } from '../servers/serverDeaths.js'
+import { recordSendOutcome, recordUnreachable, type ServerEndpoint } from '../servers/serverEndpoint.js'
 import { selectEndToEndHeaders } from './endToEndHeaders.js'
-import { fingerprintRequest } from './fingerprintRequest.js'
 import type { GuestExchange } from './guestExchange.js'
 
 /** Outcome of a send. */
@@ -60,7 +61,7 @@
   endpoint.inFlight += 1
   exchange.sends += 1
   const sentAt = host.now()
-  const send = { exchange, sentAt }
+  const send = { request: exchange, sentAt }
   host.serverDeaths.recordStart(endpoint, send)
   const result = await connection.runExchange({
     method: request.method ?? 'GET',
@@ -82,14 +83,32 @@
   cancels.forEach(cancel => exchange.cancelSends.delete(cancel))
   recordLimit(exchange, endpoint.server, purpose, result, sentAt)
   const sent = classify(result)
-  if (result.outcome === ExchangeOutcome.Broken) exchange.deathCheck = host.serverDeaths.recordBreak(endpoint, send)
-  else host.serverDeaths.recordEnd(endpoint, send)
+  recordSendEnd(exchange, endpoint, send, result)
   host.metrics.count(`sends_total{outcome="${sent.outcome}"}`)
   if (sent.outcome === SendOutcome.Responded) host.metrics.recordMilliseconds('server_answer', host.now() - sentAt)
   recordOutcome(exchange, probed, sent)
   return sent
 }
 
+/** Records whether the server ended during the send. A response that is streamed lasts until its end. */
+function recordSendEnd (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend, result: ExchangeResult): void {
+  const { serverDeaths, crashes } = exchange.host
+  const rest = result.outcome === ExchangeOutcome.Responded ? result.received.rest : undefined
+  if (rest !== undefined) {
+    rest.stream.once('aborted', () => { serverDeaths.recordBreak(endpoint, send).catch(() => {}) })
+    rest.stream.once('end', () => crashes.recordResponse(exchange))
+    rest.stream.once('close', () => serverDeaths.recordEnd(endpoint, send))
+    return
+  }
+  if (result.outcome === ExchangeOutcome.Broken) {
+    exchange.deathCheck = serverDeaths.recordBreak(endpoint, send)
+    return
+  }
+  if (result.outcome === ExchangeOutcome.TimedOut) serverDeaths.recordTimeout(endpoint, send)
+  else serverDeaths.recordEnd(endpoint, send)
+  if (result.outcome === ExchangeOutcome.Responded && !readResponseMetadata(result.received.status, result.received.headers).notExecuted) crashes.recordResponse(exchange)
+}
+
 function recordLimit ({ host }: GuestExchange, server: RegisteredServer, purpose: ContactPurpose, result: ExchangeResult, sentAt: number): void {
   if (result.outcome !== ExchangeOutcome.Responded) return
   const { status, headers } = result.received
--- a/daemon/platform-host/src/servers/serverDeaths.ts
+++ b/daemon/platform-host/src/servers/serverDeaths.ts
@@ -1,14 +1,15 @@
 // Detects that a server has ended while requests were in flight on it. After a send whose connection broke, the server counts as
 // ended if all its earlier connections are closed and it accepts no new ones. A server that resets new connections since it is full
-// keeps the earlier ones, and one that leaves as planned announces that.
+// keeps the earlier ones, and one that leaves as planned announces that. A server whose connections fall silent counts as ended when
+// its entry is replaced or expires.
 import { connect } from 'node:net'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
-import type { GuestExchange } from '../requestPath/guestExchange.js'
+import type { IdentifiedRequest } from '../crashes/fingerprintRequest.js'
 import type { ServerEndpoint } from './serverEndpoint.js'
 
 /** A request that was written to a server. */
 export interface OpenSend {
-  exchange: GuestExchange
+  request: IdentifiedRequest
   /** Milliseconds of the monotonic clock. */
   sentAt: number
 }
@@ -25,6 +26,10 @@
   recordStart: (endpoint: ServerEndpoint, send: OpenSend) => void
   /** Records the end of a send that did not break. */
   recordEnd: (endpoint: ServerEndpoint, send: OpenSend) => void
+  /** Records the end of a send that got no response in time. */
+  recordTimeout: (endpoint: ServerEndpoint, send: OpenSend) => void
+  /** Records that the entry of a server was replaced or removed without an announcement. */
+  recordLoss: (endpoint: ServerEndpoint) => void
   /** Checks the server of a send that broke. Resolves once the check and the handling of a death are complete. */
   recordBreak: (endpoint: ServerEndpoint, send: OpenSend) => Promise<void>
 }
@@ -35,9 +40,16 @@
   onDeath: (death: ServerDeath) => Promise<void>
 }
 
+interface EndedSend {
+  send: OpenSend
+  at: number
+}
+
 interface ServerSends {
   open: Set<OpenSend>
-  broken: Array<{ send: OpenSend, at: number }>
+  broken: EndedSend[]
+  /** Sends that got no response although the server accepted connections, or nothing was known of it. */
+  unanswered: EndedSend[]
   pendingCheck: Promise<void> | undefined
 }
 
@@ -45,6 +57,9 @@
 const closeDelayMilliseconds = 5
 /** Sends that broke within this time before a check were in flight when the server ended. */
 const breakWindowMilliseconds = 1_000
+/** An entry expires after three heartbeats of a few seconds each. */
+const lossWindowMilliseconds = 10_000
+const maximumUnanswered = 16
 /** A connection that is reset right after it was accepted leads to no server. */
 const acceptedMilliseconds = 25
 /** Without an answer for this time, the server may be alive behind a broken path. */
@@ -54,15 +69,22 @@
 export function createServerDeaths ({ now, onDeath }: CreateServerDeathsOptions): ServerDeaths {
   const sendsOf = new WeakMap<ServerEndpoint, ServerSends>()
   const findSends = (endpoint: ServerEndpoint): ServerSends => {
-    const sends = sendsOf.get(endpoint) ?? { open: new Set(), broken: [], pendingCheck: undefined }
+    const sends = sendsOf.get(endpoint) ?? { open: new Set(), broken: [], unanswered: [], pendingCheck: undefined }
     sendsOf.set(endpoint, sends)
     return sends
   }
-  const listRecentBreaks = ({ broken }: ServerSends): ServerSends['broken'] => broken.filter(({ at }) => now() - at < breakWindowMilliseconds)
+  const listRecentBreaks = ({ broken }: ServerSends): EndedSend[] => broken.filter(({ at }) => now() - at < breakWindowMilliseconds)
+
+  const addUnanswered = (sends: ServerSends, ended: EndedSend): void => { sends.unanswered = [...sends.unanswered, ended].slice(-maximumUnanswered) }
 
   const check = async (endpoint: ServerEndpoint, sends: ServerSends, brokenAt: number): Promise<void> => {
     await new Promise(resolve => setTimeout(resolve, closeDelayMilliseconds))
-    if (!endpoint.acceptsRequests() || endpoint.hasConnectionSince(brokenAt) || await acceptsConnections(endpoint.server.address)) return
+    if (!endpoint.acceptsRequests()) return
+    if (endpoint.hasConnectionSince(brokenAt) || await acceptsConnections(endpoint.server.address)) {
+      // The server may have been restarted faster than it could be checked.
+      sends.broken.splice(0).forEach(ended => addUnanswered(sends, ended))
+      return
+    }
     const breaks = listRecentBreaks(sends)
     sends.broken = []
     const at = Math.min(brokenAt, ...breaks.map(each => each.at))
@@ -72,6 +94,16 @@
   return {
     recordStart: (endpoint, send) => { findSends(endpoint).open.add(send) },
     recordEnd: (endpoint, send) => { findSends(endpoint).open.delete(send) },
+    recordTimeout: (endpoint, send) => {
+      const sends = findSends(endpoint)
+      sends.open.delete(send)
+      addUnanswered(sends, { send, at: now() })
+    },
+    recordLoss: endpoint => {
+      const unanswered = findSends(endpoint).unanswered.splice(0).filter(({ at }) => now() - at < lossWindowMilliseconds)
+      if (unanswered.length === 0) return
+      onDeath({ endpoint, at: Math.min(...unanswered.map(({ at }) => at)), inFlight: unanswered.map(({ send }) => send) }).catch(() => {})
+    },
     recordBreak: (endpoint, send) => {
       const sends = findSends(endpoint)
       sends.open.delete(send)
@@ -96,6 +128,8 @@
       timer = setTimeout(finish, acceptedMilliseconds, true)
     })
     socket.on('error', () => finish(false))
+    // Without reading, the end of the connection would go unnoticed.
+    socket.resume()
     socket.on('close', () => finish(false))
   })
 }
--- a/daemon/platform-host/src/servers/serverEndpoints.ts
+++ b/daemon/platform-host/src/servers/serverEndpoints.ts
@@ -23,6 +23,8 @@
   dataCentres: number
   now: () => number
   onConnectionOpened: () => void
+  /** Called when the entry of a server that had not announced to leave is replaced or removed. */
+  onLost: (endpoint: ServerEndpoint) => void
 }
 
 /** Creates an empty collection. */
@@ -53,6 +55,7 @@
       return [server.service]
     }
     if (existing !== undefined) {
+      if (existing.server.state === ServerState.Ready) options.onLost(existing)
       existing.close()
       endpoints.delete(id)
       removeFromService(existing)
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -17,6 +17,8 @@
 import { createSaturationState } from '@siskinbeam/server-ranking/saturationSlowdown'
 import { createIntroductions } from '@siskinbeam/watch-duty/introductions'
 import { addHosts, createSourceSelection, recordIncomingCall } from '@siskinbeam/watch-duty/sourceSelection'
+import { createCrashDetection } from './crashes/crashDetection.js'
+import { createCrashRows } from './crashes/crashRows.js'
 import { createPermits } from './dataCentre/permits.js'
 import { createPeerClient } from './dataCentre/peerClient.js'
 import { createFailureReports } from './dataCentre/failureReports.js'
@@ -32,10 +34,9 @@
 import { createAddressListener, createGuestListener, createReadinessListener } from './guestListeners.js'
 import { createOperatorServer } from '@siskinbeam/metrics/createOperatorServer'
 import type { PlatformHost, ShutdownTimes } from './platformHost.js'
-import { fingerprintRequest } from './requestPath/fingerprintRequest.js'
 import { createServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import { createLimitedServers } from './servers/limitedServers.js'
-import { createServerDeaths, type ServerDeath } from './servers/serverDeaths.js'
+import { createServerDeaths } from './servers/serverDeaths.js'
 import { createServerEndpoints } from './servers/serverEndpoints.js'
 
 export interface StartPlatformHostOptions {
@@ -62,6 +63,7 @@
 const followerLeaseMilliseconds = 1_000
 /** Interval at which subsets are adapted to the number of hosts; a subset that is too large only costs connections. */
 const subsetResizeMilliseconds = 1_000
+const suspectCheckMilliseconds = 1_000
 /** Ratio of the retry budget that a host uses; below 1, since each host counts only its own sends. */
 const usableBudgetRatio = 0.9
 
@@ -86,11 +88,15 @@
     countHosts: () => members.list().length,
     dataCentres: settings.dataCentres.length,
     now,
-    onConnectionOpened: () => metrics.count('server_connections_total')
+    onConnectionOpened: () => metrics.count('server_connections_total'),
+    onLost: endpoint => host.serverDeaths.recordLoss(endpoint)
   })
   const view = createView({ logger, metrics, now, onServers: (registry, ids) => endpoints.applyChanges(registry, ids) })
   const loadOnDemand = createLoadOnDemand({ isLoaded: () => initialView.isLoaded(), readAge: () => now() - host.startedAt, loadFromStore: () => storeWatch.load() })
   const initialView = createInitialView(view, loadOnDemand)
+  const store = createStoreClient({ address: settings.storeAddress, onCall: (call, outcome) => metrics.count(`store_calls_total{call="${call}",outcome="${outcome}"}`) })
+  const crashes = createCrashDetection({ logger, count: metrics.count, now, onChange: () => peerServer.answerChanged() })
+  const crashRows = createCrashRows({ store, crashes, logger, boot, now })
   const host: PlatformHost = {
     settings,
     logger,
@@ -102,7 +108,9 @@
     routes: () => view.routes(),
     endpoints,
     limitedServers: createLimitedServers({ logger, count: metrics.count, now, findServer: id => view.registry.servers.get(id)?.server, onChange: () => peerServer.answerChanged() }),
-    serverDeaths: createServerDeaths({ now, onDeath: async death => { reportDeath(logger, metrics.count, death) } }),
+    crashes,
+    crashRows,
+    serverDeaths: createServerDeaths({ now, onDeath: death => crashRows.write(crashes.recordDeath(death)) }),
     permits: { take: wish => permits.take(wish), isOwner: service => permits.isOwner(service) },
     isShuttingDown: () => shuttingDown,
     shutdownTimes: () => shutdownTimes,
@@ -121,6 +129,12 @@
       }, purpose, now())
     }
   }
+  function * removeExpiredSuspects (): ProcessBody {
+    for (;;) {
+      yield sleep(suspectCheckMilliseconds)
+      crashes.removeExpired()
+    }
+  }
   function * resizeSubsets (): ProcessBody {
     for (;;) {
       yield sleep(subsetResizeMilliseconds)
@@ -130,7 +144,6 @@
   const isReady = (): boolean => !shuttingDown && initialView.isLoaded()
   const describeOwn = (): Member => ({ ...sourceSelection.own, dataCentre: settings.dataCentre, ready: isReady() })
   const members = createMemberList(describeOwn, now)
-  const store = createStoreClient({ address: settings.storeAddress, onCall: (call, outcome) => metrics.count(`store_calls_total{call="${call}",outcome="${outcome}"}`) })
   const storeWatch = watchStore({
     host,
     view,
@@ -174,6 +187,7 @@
   metrics.gauge('view_age_milliseconds', () => now() - follower.confirmedAt())
   metrics.gauge('known_servers', () => view.registry.servers.size)
   metrics.gauge('limited_servers', () => host.limitedServers.list().length)
+  metrics.gauge('crash_suspects', () => crashes.list().length)
   metrics.gauge('live_entry_hosts', () => members.list().length)
   metrics.gauge('in_flight', guestListener.inFlight)
   view.onChange(guestListener.applyLimits)
@@ -190,6 +204,7 @@
     failingServers: [...view.registry.servers.keys()].map(server => ({ server, failureRatio: host.failureReports.readRatio(server) })).filter(({ failureRatio }) => failureRatio > 0),
     limitedServers: host.limitedServers.list(),
     permitOwners: permits.listOwners(),
+    crashSuspects: crashes.list(),
     servers: [...view.registry.servers.values()],
     metrics: metrics.snapshot()
   })
@@ -210,6 +225,7 @@
     superviseProcess({ name: 'join data centre', logger, body: joiner.run }),
     superviseProcess({ name: 'follow source', logger, body: follower.run }),
     superviseProcess({ name: 'resize subsets', logger, body: resizeSubsets }),
+    superviseProcess({ name: 'remove expired crash suspects', logger, body: removeExpiredSuspects }),
     superviseProcess({ name: 'follow permit owners', logger, body: permits.run })
   ]
   logger.info('host started', { boot, dataCentre: settings.dataCentre, guestAddress: settings.guestAddress, peerAddress: settings.peerAddress, store: settings.storeAddress, metricsAddress: settings.metricsAddress })
@@ -239,6 +255,7 @@
   }
   const stop = (): void => {
     storeWatch.stop()
+    crashRows.stop()
     processes.forEach(process => process.stop())
     peerClient.close()
     endpoints.close()
@@ -262,18 +279,6 @@
   }
 }
 
-function reportDeath (logger: Logger, count: (metric: string) => void, { endpoint: { server }, inFlight }: ServerDeath): void {
-  count('server_deaths_total')
-  logger.warn('server died', {
-    server: server.id,
-    address: server.address,
-    service: server.service,
-    born: server.boot,
-    requests: inFlight.map(({ exchange }) => exchange.requestId).join(','),
-    fingerprints: inFlight.map(({ exchange }) => fingerprintRequest(exchange)).join(',')
-  })
-}
-
 /** Returns a function that creates the state of a name at its first use and returns the same one afterwards. */
 function memoizeByName<State> (create: () => State): (name: string) => State {
   const states = new Map<string, State>()
--- a/limits/crash-suspects/src/stepCrashSuspects.ts
+++ b/limits/crash-suspects/src/stepCrashSuspects.ts
@@ -8,7 +8,8 @@
   type CrashCommand, type CrashEvent, type CrashReport, type CrashSuspectsState, type SuspectDeath, type ServerDeath, type Suspect, type SuspectReport
 } from './crashTypes.js'
 
-const expiryMilliseconds = 600_000
+/** A suspect is forgotten this long after its last death. */
+export const expiryMilliseconds = 600_000
 const maximumSuspects = 1_000
 /** Sufficient for a rack failure. If there are more deaths, the retained ones certainly include an unrelated death. */
 const maximumServerDeaths = 256
@@ -180,6 +181,11 @@
   return step(options as Parameters<typeof step>[0])
 }
 
+/** Describes the suspects with the given fingerprints for another host. */
+export function reportSuspects (state: CrashSuspectsState, fingerprints: Iterable<string>, now: number): SuspectReport[] {
+  return [...fingerprints].flatMap(fingerprint => state.suspects.get(fingerprint) ?? []).map(suspect => createSuspectReport(suspect, now))
+}
+
 export interface ReportCrashSuspectsOptions {
   state: CrashSuspectsState
   now: number
