--- a/limits/crash-suspects/test/stepCrashSuspects.test.ts
+++ b/limits/crash-suspects/test/stepCrashSuspects.test.ts
@@ -175,3 +175,16 @@
   assert.equal(run([[0, died('a', 'f', 'g')], [5_000, died('b', 'f', 'g')]]), SendDecisionKind.Isolated)
   assert.equal(run([...rack, [5_000, died('c', 'f')]]), SendDecisionKind.Refused)
 })
+
+test('a popular request that begins to crash servers is refused after three that crashed one after the other, but not for a rack failure', () => {
+  const run = (deaths: Array<[number, string, number]>): SendDecisionKind => {
+    const state = createCrashSuspectsState()
+    stepCrashSuspects({ state, event: { kind: CrashEventKind.Finished, fingerprint: 'f' }, now: 0 })
+    deaths.forEach(([now, server, ageMilliseconds]) => stepCrashSuspects({ state, event: { kind: CrashEventKind.ServerDied, server, boot: '1', inFlight: [{ fingerprint: 'f', ageMilliseconds }] }, now }))
+    return decide(state, 'f', 9_000)
+  }
+  const repeated: Array<[number, string, number]> = [[1_000, 'a', 5], [1_900, 'b', 5], [2_800, 'c', 5], [3_700, 'd', 5]]
+  assert.equal(run(repeated.slice(0, 3)), SendDecisionKind.Isolated)
+  assert.equal(run(repeated), SendDecisionKind.Refused)
+  assert.equal(run([[1_000, 'a', 500], [1_100, 'b', 600], [1_400, 'c', 900]]), SendDecisionKind.Isolated)
+})
