Log that the store was restored from an older copy

Cause: no line of the log said that the history of the store had changed, so missed changes could not be told from a watch that waits on a dead connection. The stand-in of the store can be replaced by an older copy of itself, names its era, and answers 410 for a version that it doesn't have. Nothing is decided by it yet.

--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -95,8 +95,16 @@
     }
   ]
   let connectionFailingSince: number | undefined
+  let era: number | undefined
+
+  const recordEra = ({ era: latest }: StoreReply): void => {
+    if (latest === undefined || latest === era) return
+    if (era !== undefined) logger.warn('store history changed', { from: era, to: latest })
+    era = latest
+  }
 
   const handleReply = (watch: TableWatch, reply: StoreReply, whole: boolean): void => {
+    recordEra(reply)
     if (reply.outcome !== StoreOutcome.Done) {
       if (watch.lostAt === undefined) logger.warn('store lost', { table: watch.table, outcome: reply.outcome, reason: reply.reason, ageMilliseconds: Math.round(now() - watch.confirmedAt) })
       watch.lostAt ??= now()
--- a/stand-ins/platform/src/serveHttp.ts
+++ b/stand-ins/platform/src/serveHttp.ts
@@ -6,6 +6,7 @@
 export interface Reply {
   status: number
   body?: unknown
+  headers?: Record<string, string>
 }
 
 /** A request with its buffered body. `path` does not include the query. */
@@ -30,6 +31,7 @@
 /** A listening server. `address` has the port that was assigned. */
 export interface HttpListener {
   address: string
+  closeConnections: () => void
   close: () => Promise<void>
 }
 
@@ -44,6 +46,7 @@
   const bound = await bindListener(server, address)
   return {
     address: bound,
+    closeConnections: () => server.closeAllConnections(),
     close: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
@@ -54,7 +57,7 @@
 async function handleRequest (request: IncomingMessage, response: ServerResponse, maximumBodyBytes: number, handle: RequestHandler): Promise<void> {
   const body = await readBody(request, maximumBodyBytes)
   const url = new URL(request.url ?? '/', 'http://localhost')
-  const reply = body === undefined
+  const reply: Reply | undefined = body === undefined
     ? { status: 413, body: { message: `the body exceeds ${maximumBodyBytes} bytes` } }
     : await handle({ method: request.method ?? 'GET', path: url.pathname, query: url.searchParams, headers: request.headers, body })
   if (reply === undefined) {
@@ -63,7 +66,7 @@
   }
   const isBytes = reply.body instanceof Uint8Array
   const content = isBytes ? reply.body as Uint8Array : JSON.stringify(reply.body ?? {})
-  response.writeHead(reply.status, { 'content-type': isBytes ? 'application/octet-stream' : 'application/json', 'content-length': Buffer.byteLength(content) })
+  response.writeHead(reply.status, { ...reply.headers, 'content-type': isBytes ? 'application/octet-stream' : 'application/json', 'content-length': Buffer.byteLength(content) })
   response.end(content)
 }
 
--- a/stand-ins/platform/src/serveRowStore.ts
+++ b/stand-ins/platform/src/serveRowStore.ts
@@ -1,6 +1,6 @@
 // Stand-in for the row store of the users' platform: tables of rows with one version counter, a change feed
 // with long polling, and injected faults: rejected calls, lost replies, delayed writes, no response, a stale
-// feed and a dropped change history. Tests write the rows of the operator and the servers directly.
+// feed, a dropped change history, and an older copy that takes the place of the store. Tests write the rows of the operator and the servers directly.
 import { parseJson, serveHttp, type ReceivedRequest, type Reply } from './serveHttp.js'
 
 export interface RowStoreRow {
@@ -40,9 +40,19 @@
   read: (tableName: string, part?: string) => RowStoreRow[]
   /** Drops the change history, so that feed requests from an earlier version get 410. */
   dropHistory: () => void
+  /** Returns a copy of the rows and their history. */
+  takeCopy: () => RowStoreCopy
+  /** Replaces the rows and their history by a copy, and closes all connections. The era, which all responses name, increases by one. */
+  restore: (copy: RowStoreCopy) => void
   close: () => Promise<void>
 }
 
+export interface RowStoreCopy {
+  rows: Map<string, RowStoreRow>
+  changes: Change[]
+  version: number
+}
+
 interface Transaction {
   expect?: Array<{ tableName: string, part: string, key: string, rowVersion: number }>
   upserts?: Array<{ tableName: string, part: string, key: string, value: string }>
@@ -62,6 +72,7 @@
   let changes: Change[] = []
   let version = 1
   let oldestVersion = 0
+  let era = 1
 
   const formatRowKey = (tableName: string, part: string, key: string): string => JSON.stringify([tableName, part, key])
   const notifyWaiting = (): void => [...waitingRequests].forEach(resume => resume())
@@ -110,9 +121,10 @@
     const finish = (): void => {
       clearTimeout(timer)
       waitingRequests.delete(resume)
-      resolve(after < oldestVersion ? { status: 410, body: {} } : { status: 200, body: { rows: changed(), ...describeStoreState(), ...(faults.staleFeed ? { rowVersion: after } : {}) } })
+      resolve(isUnavailable() ? { status: 410, body: {} } : { status: 200, body: { rows: changed(), ...describeStoreState(), ...(faults.staleFeed ? { rowVersion: after } : {}) } })
     }
-    const resume = (): void => { if (after < oldestVersion || changed().length > 0) finish() }
+    const isUnavailable = (): boolean => after < oldestVersion || after > version
+    const resume = (): void => { if (isUnavailable() || changed().length > 0) finish() }
     const timer = setTimeout(finish, Math.min(maximumWaitMilliseconds, Number(query.get('waitMs') ?? 0)))
     waitingRequests.add(resume)
     resume()
@@ -123,14 +135,17 @@
     'GET /v1/rows-get': ({ query }) => get(query),
     'GET /v1/rows-feed': ({ query }) => feed(query)
   }
+  const addEra = async (pending: Promise<Reply | undefined> | Reply | undefined): Promise<Reply | undefined> => {
+    const reply = await pending
+    return reply === undefined ? undefined : { ...reply, headers: { 'store-era': String(era) } }
+  }
   const listener = await serveHttp({
     address,
     maximumBodyBytes,
     handle: request => {
       calls.set(request.path, (calls.get(request.path) ?? 0) + 1)
       if (faults.unresponsive) return new Promise(() => {})
-      if (faults.refuseStatus !== undefined) return { status: faults.refuseStatus }
-      return handlers[`${request.method} ${request.path}`]?.(request) ?? { status: 404 }
+      return addEra(faults.refuseStatus === undefined ? handlers[`${request.method} ${request.path}`]?.(request) ?? { status: 404 } : { status: faults.refuseStatus })
     }
   })
   return {
@@ -146,6 +161,16 @@
       oldestVersion = version
       notifyWaiting()
     },
+    takeCopy: () => ({ rows: new Map(rows), changes: [...changes], version }),
+    restore: copy => {
+      rows.clear()
+      copy.rows.forEach((row, key) => rows.set(key, row))
+      changes = [...copy.changes]
+      version = copy.version
+      era += 1
+      waitingRequests.clear()
+      listener.closeConnections()
+    },
     close: () => listener.close()
   }
 }
