Compare versions of the store only within one of its histories

Callers saw requests go to servers that had left, and configurations late, after the store came back from an older copy. Cause: versions of two histories were compared (the watch, the registry, its entries, the lists between hosts), and the copy was taken for the present state of the servers. Ruled out as the only cause: a watch on a dead connection, which delays but loses nothing. Each reply names its Store-Era; at a higher one all tables are read anew, pending calls are interrupted, and hosts write their own rows again. Which entry of a server is newer follows from its start and its sequence, so a copy doesn't bring back a server that has left or is leaving. It works since nothing that decides depends on a number which the store gives out twice.

--- a/daemon/platform-host/src/dataCentre/joinDataCentre.ts
+++ b/daemon/platform-host/src/dataCentre/joinDataCentre.ts
@@ -19,6 +19,8 @@
 
 export interface DataCentreJoiner {
   hasJoined: () => boolean
+  /** Writes the row of this host again if it is needed, after the store has lost it. */
+  registerAgain: () => void
   /** Body of the background process that joins and then repeats the introductions of a host that watches the store. */
   run: () => ProcessBody
 }
@@ -96,6 +98,7 @@
 
   return {
     hasJoined: () => joined,
+    registerAgain: () => { registered = false },
     run: function * () {
       if (!joined) yield * runJoin()
       yield * runIntroductions()
--- a/daemon/platform-host/src/dataCentre/view.ts
+++ b/daemon/platform-host/src/dataCentre/view.ts
@@ -21,10 +21,12 @@
   metrics: HostMetrics
   now: () => number
   onServers: (registry: RegistryState, ids: string[]) => void
+  /** Called when the store was restored from an older copy, which does not have the latest rows. */
+  onHistoryChanged: () => void
 }
 
 /** Creates an empty view. */
-export function createView ({ logger, metrics, now, onServers }: CreateViewOptions): View {
+export function createView ({ logger, metrics, now, onServers, onHistoryChanged }: CreateViewOptions): View {
   const registry = createRegistry()
   const listeners: Array<() => void> = []
   let table: RouteTable | undefined
@@ -48,7 +50,14 @@
       logger.info('configuration in force', { configuration: configuration.version, routes: configuration.routes.length, source })
       notify()
     },
-    applyServers: (update, source) => publishServerChanges(applyUpdate(registry, update, now()), source),
+    applyServers: (update, source) => {
+      const { era, version } = registry
+      publishServerChanges(applyUpdate(registry, update, now()), source)
+      if (registry.era === era || version === 0) return
+      logger.warn('store history changed', { from: era, to: registry.era, servers: registry.servers.size, source })
+      onHistoryChanged()
+      notify()
+    },
     applyHeldRemovals: () => publishServerChanges(applyHeldRemovals(registry, now()), 'lapsed'),
     onChange: listener => { listeners.push(listener) }
   }
--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -42,6 +42,8 @@
   failingSince: number | undefined
   /** Start of the current outage; unlike failingSince, it is kept while the watch is idle. */
   lostAt: number | undefined
+  /** Ends the call in progress, whose reply is ignored. */
+  interrupt: () => void
   apply: (rows: StoreRow[], whole: boolean, version: number) => void
 }
 
@@ -57,6 +59,8 @@
 /** Entries of servers may expire during an outage that lasts longer than this. */
 const minimumOutageMilliseconds = 1_000
 const connectionCheckMilliseconds = 400
+/** Keeps a call that fails at once from being repeated without a pause. */
+const interruptedPauseMilliseconds = 10
 const crashRowCheckMilliseconds = 1_000
 /** Tables without which a host serves no requests. */
 const initialTables = new Set([Table.Operator, Table.Servers])
@@ -71,6 +75,7 @@
       confirmedAt: -Infinity,
       failingSince: undefined,
       lostAt: undefined,
+      interrupt: () => {},
       apply: rows => rows.filter(({ key, deleted }) => key === configurationKey && !deleted).forEach(row => {
         const configuration = parseConfiguration(row.value)
         if (configuration === undefined) logger.error('configuration unreadable', { version: row.version })
@@ -83,7 +88,8 @@
       confirmedAt: -Infinity,
       failingSince: undefined,
       lostAt: undefined,
-      apply: (rows, whole, version) => view.applyServers({ whole, version, changes: rows.map(parseServerRow) }, 'store')
+      interrupt: () => {},
+      apply: (rows, whole, version) => view.applyServers({ whole, era, version, changes: rows.map(parseServerRow) }, 'store')
     },
     {
       table: Table.CrashSuspects,
@@ -91,20 +97,28 @@
       confirmedAt: -Infinity,
       failingSince: undefined,
       lostAt: undefined,
+      interrupt: () => {},
       apply: rows => host.crashRows.apply(rows)
     }
   ]
   let connectionFailingSince: number | undefined
-  let era: number | undefined
+  let era = 0
 
-  const recordEra = ({ era: latest }: StoreReply): void => {
-    if (latest === undefined || latest === era) return
-    if (era !== undefined) logger.warn('store history changed', { from: era, to: latest })
+  /** Starts to read all tables anew if the reply comes from another history of the store. Returns whether the reply can be used. */
+  const checkEra = (reply: StoreReply, whole: boolean): boolean => {
+    const latest = reply.era ?? era
+    if (latest <= era) return latest === era
+    const isFirst = era === 0
     era = latest
+    if (isFirst) return true
+    watches.forEach(watch => { watch.version = 0 })
+    interruptAll()
+    return whole
   }
+  const interruptAll = (): void => watches.forEach(watch => watch.interrupt())
 
   const handleReply = (watch: TableWatch, reply: StoreReply, whole: boolean): void => {
-    recordEra(reply)
+    if (!checkEra(reply, whole)) return
     if (reply.outcome !== StoreOutcome.Done) {
       if (watch.lostAt === undefined) logger.warn('store lost', { table: watch.table, outcome: reply.outcome, reason: reply.reason, ageMilliseconds: Math.round(now() - watch.confirmedAt) })
       watch.lostAt ??= now()
@@ -146,9 +160,16 @@
       }
       const whole = watch.version === 0
       const calledAt = now()
-      const settled: { ok: boolean, value?: StoreReply } = yield take(fromPromise(whole ? store.readTable(watch.table) : store.readChanges(watch.table, watch.version, longPollMilliseconds)))
+      // After an outage, the reply is not waited for, since it tells whether the store still has the same history.
+      const waitMilliseconds = watch.lostAt === undefined ? longPollMilliseconds : 0
+      const interrupted = new Promise<undefined>(resolve => { watch.interrupt = () => resolve(undefined) })
+      const call = whole ? store.readTable(watch.table) : store.readChanges(watch.table, watch.version, waitMilliseconds)
+      const settled: { ok: boolean, value?: StoreReply | undefined } = yield take(fromPromise(Promise.race([call, interrupted])))
       const reply = settled.value
-      if (reply === undefined) continue
+      if (reply === undefined) {
+        yield sleep(interruptedPauseMilliseconds)
+        continue
+      }
       if (reply.outcome === StoreOutcome.HistoryDropped) {
         logger.info('history dropped', { table: watch.table, version: watch.version })
         watch.version = 0
@@ -158,7 +179,7 @@
       failures = reply.outcome === StoreOutcome.Done ? 0 : failures + 1
       if (failures > 0) yield sleep(Math.min(maximumRetryMilliseconds, initialRetryMilliseconds * 2 ** failures) * (0.7 + 0.6 * host.random()))
       // Prevents a busy loop if the change feed responds at once without any rows.
-      else if (now() - calledAt < longPollMilliseconds / 2) yield sleep(watch.table === Table.CrashSuspects ? crashBatchMilliseconds : batchMilliseconds)
+      else if (now() - calledAt < waitMilliseconds / 2) yield sleep(watch.table === Table.CrashSuspects ? crashBatchMilliseconds : batchMilliseconds)
     }
   }
 
@@ -170,8 +191,13 @@
         continue
       }
       const settled: { value?: boolean } = yield take(fromPromise(canConnect(host.settings.storeAddress)))
-      if (settled.value === true) connectionFailingSince = undefined
-      else connectionFailingSince ??= now()
+      if (settled.value !== true) {
+        connectionFailingSince ??= now()
+        continue
+      }
+      // Connections that were opened before the outage may be dead without a sign of it.
+      if (connectionFailingSince !== undefined) interruptAll()
+      connectionFailingSince = undefined
     }
   }
 
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -91,7 +91,16 @@
     onConnectionOpened: () => metrics.count('server_connections_total'),
     onLost: endpoint => host.serverDeaths.recordLoss(endpoint)
   })
-  const view = createView({ logger, metrics, now, onServers: (registry, ids) => endpoints.applyChanges(registry, ids) })
+  const view = createView({
+    logger,
+    metrics,
+    now,
+    onServers: (registry, ids) => endpoints.applyChanges(registry, ids),
+    onHistoryChanged: () => {
+      crashRows.rewrite()
+      joiner.registerAgain()
+    }
+  })
   const loadOnDemand = createLoadOnDemand({ isLoaded: () => initialView.isLoaded(), readAge: () => now() - host.startedAt, loadFromStore: () => storeWatch.load() })
   const initialView = createInitialView(view, loadOnDemand)
   const store = createStoreClient({ address: settings.storeAddress, onCall: (call, outcome) => metrics.count(`store_calls_total{call="${call}",outcome="${outcome}"}`) })
--- a/daemon/platform-host/test/serverEndpoints.test.ts
+++ b/daemon/platform-host/test/serverEndpoints.test.ts
@@ -6,7 +6,7 @@
 import { createServerEndpoints, type ServerEndpoints } from '../src/servers/serverEndpoints.js'
 
 const describeServer = (id: string, changes: Partial<RegisteredServer> = {}): RegisteredServer => ({
-  id, boot: 1, service: 'desk', address: `127.0.0.1:${7_000 + id.length}`, dataCentre: 'north', slots: 3, state: ServerState.Ready, warmUpMilliseconds: 0, ...changes
+  id, boot: 1, sequence: 1, service: 'desk', address: `127.0.0.1:${7_000 + id.length}`, dataCentre: 'north', slots: 3, state: ServerState.Ready, warmUpMilliseconds: 0, ...changes
 })
 
 function createEndpoints (): { registry: RegistryState, endpoints: ServerEndpoints, apply: (servers: Array<[string, RegisteredServer | undefined]>) => void } {
@@ -18,7 +18,7 @@
     endpoints,
     apply: servers => {
       version += 1
-      endpoints.applyChanges(registry, applyUpdate(registry, { whole: false, version, changes: servers.map(([id, server]) => ({ id, version, server })) }, 0))
+      endpoints.applyChanges(registry, applyUpdate(registry, { whole: false, era: 0, version, changes: servers.map(([id, server]) => ({ id, version, server })) }, 0))
     }
   }
 }
--- a/daemon/platform-host/test/serverLimits.test.ts
+++ b/daemon/platform-host/test/serverLimits.test.ts
@@ -108,7 +108,7 @@
   calls: () => number
 }
 
-const server = { id: 'i-1', boot: 1, service: 'desk', address: '127.0.0.1:9', dataCentre: 'north', slots: 3, state: ServerState.Ready, warmUpMilliseconds: 0 }
+const server = { id: 'i-1', boot: 1, sequence: 1, service: 'desk', address: '127.0.0.1:9', dataCentre: 'north', slots: 3, state: ServerState.Ready, warmUpMilliseconds: 0 }
 const services = Array.from({ length: 50 }, (_, index) => `desk-${index}`)
 
 /** Permits of one of three hosts, with one limited server of each service. */
--- a/daemon/platform-host/test/support/simulatePermits.ts
+++ b/daemon/platform-host/test/support/simulatePermits.ts
@@ -83,7 +83,7 @@
   const random = createRandom(options.seed)
   const dataCentres = Array.from({ length: options.dataCentres }, (_, index) => `dc-${index}`)
   const servers = new Map(Array.from({ length: options.servers }, (_, index): [string, RegisteredServer] => [`i-${index}`, {
-    id: `i-${index}`, boot: 1, service, address: '127.0.0.1:9', dataCentre: dataCentres[index % dataCentres.length] ?? '', slots: 4, state: ServerState.Ready, warmUpMilliseconds: 0
+    id: `i-${index}`, boot: 1, sequence: 1, service, address: '127.0.0.1:9', dataCentre: dataCentres[index % dataCentres.length] ?? '', slots: 4, state: ServerState.Ready, warmUpMilliseconds: 0
   }]))
   let now = 0
   let calls = 0
--- a/membership/server-registry/src/serverRegistry.ts
+++ b/membership/server-registry/src/serverRegistry.ts
@@ -1,7 +1,11 @@
 // Registry of the servers of all services, as listed in the store. It applies complete listings and
 // incremental changes in the order of their versions. It numbers its own changes with revisions, so that a
 // host can send another host only the changes that the other host does not have.
+//
+// Versions are comparable only within one history of the store. If the store was restored from an older copy, its list may show
+// servers as they were before changes that are known here; serverHistory.ts decides which entries to believe.
 import { digestText } from '@siskinbeam/random/hashText'
+import { createServerHistory, isLeftover, isOlderEntry, recordDeparture, type ServerHistory } from './serverHistory.js'
 
 export enum ServerState {
   Ready = 'ready',
@@ -13,6 +17,8 @@
   id: string
   /** Start time in epoch milliseconds; distinguishes starts under the same ID. */
   boot: number
+  /** Increases with each entry that one start of the server writes. */
+  sequence: number
   service: string
   address: string
   dataCentre: string
@@ -33,6 +39,8 @@
 /** Changes up to a version of the store. If `whole` is set, servers that are not named have been removed. */
 export interface RegistryUpdate {
   whole: boolean
+  /** Number of the store's history to which the versions belong. */
+  era: number
   version: number
   changes: RegistryChange[]
 }
@@ -44,6 +52,7 @@
 
 interface ListedServer {
   server: RegisteredServer
+  /** 0 if the entry is known from an earlier history of the store only. */
   version: number
   revision: number
 }
@@ -55,6 +64,7 @@
 }
 
 export interface RegistryState {
+  era: number
   /** Version of the store that the list matches; 0 if nothing has been read. */
   version: number
   revision: number
@@ -65,6 +75,7 @@
   /** Delayed removals, by server ID, of servers that may register again because their entries expired during an outage of the store. */
   heldRemovals: Map<string, number>
   holdUntil: number
+  history: ServerHistory
   digest: { revision: number, text: string }
 }
 
@@ -74,7 +85,18 @@
 
 /** Creates an empty registry. */
 export function createRegistry (): RegistryState {
-  return { version: 0, revision: 0, servers: new Map(), removals: [], oldestRevision: 0, heldRemovals: new Map(), holdUntil: -Infinity, digest: { revision: -1, text: '' } }
+  return {
+    era: 0,
+    version: 0,
+    revision: 0,
+    servers: new Map(),
+    removals: [],
+    oldestRevision: 0,
+    heldRemovals: new Map(),
+    holdUntil: -Infinity,
+    history: createServerHistory(),
+    digest: { revision: -1, text: '' }
+  }
 }
 
 /** Records that the store recovered from an outage. Removals are held until the grace period has passed. */
@@ -82,9 +104,14 @@
   state.holdUntil = now + expiryGraceMilliseconds
 }
 
-/** Applies an update and returns the IDs of the servers that changed or were removed. An update older than the list is ignored. */
+/**
+ * Applies an update and returns the IDs of the servers that changed or were removed. An update older than the list is ignored, and
+ * so is one of a later history that does not contain the whole list.
+ */
 export function applyUpdate (state: RegistryState, update: RegistryUpdate, now: number): string[] {
-  if (update.version < state.version) return []
+  const isRestored = update.era > state.era
+  if (update.era < state.era || (isRestored && !update.whole && state.version > 0) || (!isRestored && update.version < state.version)) return []
+  if (isRestored) startEra(state, update, now)
   const named = new Set(update.changes.map(({ id }) => id))
   const missing = update.whole ? [...state.servers.keys()].filter(id => !named.has(id)) : []
   const changes = [...update.changes, ...missing.map(id => ({ id, version: update.version, server: undefined }))]
@@ -112,27 +139,48 @@
     : state.removals
       .filter(({ id, revision }) => revision > since && !state.servers.has(id))
       .map(({ id, version }) => ({ id, version, server: undefined }))
-  return { whole, version: state.version, revision: state.revision, changes: [...changed, ...removed] }
+  return { whole, era: state.era, version: state.version, revision: state.revision, changes: [...changed, ...removed] }
 }
 
 /** Returns a digest of the list that is equal on all hosts with the same list. */
 export function digestServers (state: RegistryState): string {
   if (state.digest.revision !== state.revision) {
-    const entries = [...state.servers].map(([id, { version }]) => `${id}:${version}`).sort().join()
-    state.digest = { revision: state.revision, text: digestText(entries) }
+    const entries = [...state.servers].map(([id, { version, server }]) => `${id}:${version}:${server.state}`).sort().join()
+    state.digest = { revision: state.revision, text: digestText(`${state.era}/${entries}`) }
   }
   return state.digest.text
 }
 
+/** Versions of entries start anew. Hosts that have an earlier revision get the whole list, since versions changed without a change of the entries. */
+function startEra (state: RegistryState, { era }: RegistryUpdate, now: number): void {
+  const isFirst = state.version === 0
+  state.era = era
+  if (isFirst) return
+  state.servers.forEach(listed => { listed.version = 0 })
+  state.heldRemovals.clear()
+  state.history.ignored.clear()
+  state.removals = []
+  state.revision += 1
+  state.oldestRevision = state.revision
+  state.holdUntil = now + expiryGraceMilliseconds
+}
+
 function applyChange (state: RegistryState, change: RegistryChange, now: number): boolean {
   const known = state.servers.get(change.id)
   if (change.server !== undefined) {
     state.heldRemovals.delete(change.id)
     if (known !== undefined && known.version >= change.version) return false
+    if (known === undefined && isLeftover(state.history, change, state.era)) return false
+    if (known !== undefined && known.version === 0 && isOlderEntry(change.server, known.server)) {
+      known.version = change.version
+      return false
+    }
+    state.history.departures.delete(change.id)
     state.revision += 1
     state.servers.set(change.id, { server: change.server, version: change.version, revision: state.revision })
     return true
   }
+  state.history.ignored.delete(change.id)
   if (known === undefined) return false
   if (now < state.holdUntil) {
     state.heldRemovals.set(change.id, change.version)
@@ -143,6 +191,8 @@
 }
 
 function remove (state: RegistryState, id: string, version: number): void {
+  const known = state.servers.get(id)
+  if (known !== undefined) recordDeparture(state.history, known.server, state.era)
   state.servers.delete(id)
   state.revision += 1
   state.removals.push({ id, version, revision: state.revision })
