Poll for crash suspects less often, and interrupt calls from before an outage

Its long poll lasts 5 s in place of 2 s; when another table is regained, calls that began before the outage are interrupted, so a dead connection is noticed as before.

--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -37,11 +37,14 @@
 
 interface TableWatch {
   table: Table
+  longPollMilliseconds: number
   version: number
   confirmedAt: number
   failingSince: number | undefined
   /** Start of the current outage; unlike failingSince, it is kept while the watch is idle. */
   lostAt: number | undefined
+  /** Start of the latest call. */
+  calledAt: number
   /** Ends the call in progress, whose reply is ignored. */
   interrupt: () => void
   apply: (rows: StoreRow[], whole: boolean, version: number) => void
@@ -49,6 +52,8 @@
 
 /** Duration of a long poll. An unresponsive connection is detected only when the poll ends. */
 const longPollMilliseconds = 2_000
+/** Crash suspects rarely change, and each poll is priced. */
+const crashLongPollMilliseconds = 5_000
 /** Changes in quick succession are batched for this time. */
 const batchMilliseconds = 350
 /** A crashing request may come again at once. */
@@ -71,10 +76,12 @@
   const watches: TableWatch[] = [
     {
       table: Table.Operator,
+      longPollMilliseconds,
       version: 0,
       confirmedAt: -Infinity,
       failingSince: undefined,
       lostAt: undefined,
+      calledAt: -Infinity,
       interrupt: () => {},
       apply: rows => rows.filter(({ key, deleted }) => key === configurationKey && !deleted).forEach(row => {
         const configuration = parseConfiguration(row.value)
@@ -84,19 +91,23 @@
     },
     {
       table: Table.Servers,
+      longPollMilliseconds,
       version: 0,
       confirmedAt: -Infinity,
       failingSince: undefined,
       lostAt: undefined,
+      calledAt: -Infinity,
       interrupt: () => {},
       apply: (rows, whole, version) => view.applyServers({ whole, era, version, changes: rows.map(parseServerRow) }, 'store')
     },
     {
       table: Table.CrashSuspects,
+      longPollMilliseconds: crashLongPollMilliseconds,
       version: 0,
       confirmedAt: -Infinity,
       failingSince: undefined,
       lostAt: undefined,
+      calledAt: -Infinity,
       interrupt: () => {},
       apply: rows => host.crashRows.apply(rows)
     }
@@ -131,6 +142,8 @@
     if (watch.lostAt !== undefined) {
       logger.info('store regained', { table: watch.table, milliseconds: Math.round(now() - watch.lostAt) })
       if (watch.table === Table.Servers && now() - watch.lostAt > minimumOutageMilliseconds) recordStoreRecovery(view.registry, now())
+      // The connections of calls from before the outage may have died in it.
+      watches.filter(({ calledAt }) => calledAt < (watch.lostAt ?? 0)).forEach(other => other.interrupt())
       watch.lostAt = undefined
     }
     watch.apply(reply.rows, whole, reply.version)
@@ -160,8 +173,9 @@
       }
       const whole = watch.version === 0
       const calledAt = now()
+      watch.calledAt = calledAt
       // After an outage, the reply is not waited for, since it tells whether the store still has the same history.
-      const waitMilliseconds = watch.lostAt === undefined ? longPollMilliseconds : 0
+      const waitMilliseconds = watch.lostAt === undefined ? watch.longPollMilliseconds : 0
       const interrupted = new Promise<undefined>(resolve => { watch.interrupt = () => resolve(undefined) })
       const call = whole ? store.readTable(watch.table) : store.readChanges(watch.table, watch.version, waitMilliseconds)
       const settled: { ok: boolean, value?: StoreReply | undefined } = yield take(fromPromise(Promise.race([call, interrupted])))
