Ignore entries of servers with values out of range, and log them with a code

Another operator's report: one odd entry ended the machines that read the list, or stopped them from following it. No process ended here, but ports of 70000, 0 or 10^20 - 1, an octet of 999, infinite, huge or negative slots, a born of 1e300 or 1.5, a warm-up of 1e308 and a NUL in a name were taken as servers, and a row key with a line break went into a request header. Each field has a check of its type and range; an invalid one registers no server and is logged with code 406 and its name, at most 20 a minute. Rows of entry hosts are checked as well.

--- a/core/result-codes/src/describeResultCode.ts
+++ b/core/result-codes/src/describeResultCode.ts
@@ -43,6 +43,7 @@
   [ResultCode.AnswerTruncated]: { status: 502, outcome: Outcome.Unknown, meaning: 'The answer of the server ended early.', action: 'With a key, ask again.' },
   [ResultCode.AnswerMalformed]: { status: 502, outcome: Outcome.Unknown, meaning: 'The server sent something that is not an HTTP answer.', action: 'Operators check the server.' },
   [ResultCode.ServerLimitInvalid]: { meaning: 'A server named a limit that is not a number of requests per second; it is ignored.', action: 'Operators check the server.' },
+  [ResultCode.ServerEntryInvalid]: { meaning: 'An entry of a server in the store has an invalid field; it registers no server.', action: 'Operators look for the program that wrote the entry.' },
   [ResultCode.BundleInvalid]: { meaning: 'The bundle does not match the schema.', action: 'Correct the key named in the message.' },
   [ResultCode.BundleVersionStale]: { meaning: 'The version is not greater than the one in force.', action: 'Take the version in force plus one.' },
   [ResultCode.BundleSignatureInvalid]: { meaning: 'A signature does not match the bundle.', action: 'Sign the present body again.' },
--- a/core/result-codes/src/resultCode.ts
+++ b/core/result-codes/src/resultCode.ts
@@ -45,6 +45,7 @@
   AnswerTruncated = 403,
   AnswerMalformed = 404,
   ServerLimitInvalid = 405,
+  ServerEntryInvalid = 406,
 
   BundleInvalid = 501,
   BundleVersionStale = 502,
--- a/daemon/platform-host/src/dataCentre/joinDataCentre.ts
+++ b/daemon/platform-host/src/dataCentre/joinDataCentre.ts
@@ -5,6 +5,7 @@
 import { fromPromise, sleep, take, type ProcessBody } from '@siskinbeam/processes/channels'
 import { decideJoin, JoinStep } from '@siskinbeam/watch-duty/decideJoin'
 import { addHosts, type SourceSelectionState, type KnownHost } from '@siskinbeam/watch-duty/sourceSelection'
+import { isAddress } from '@siskinbeam/platform-adapter/isAddress'
 import type { PlatformHost } from '../platformHost.js'
 import type { PeerClient } from './peerClient.js'
 
@@ -58,7 +59,7 @@
     const reply = await store.readTable(Table.EntryHosts, settings.dataCentre)
     storeRead = true
     if (reply.outcome === StoreOutcome.Done) {
-      addHosts(sourceSelection, reply.rows.map(({ value }) => value as KnownHost).filter(value => typeof value?.peerAddress === 'string'))
+      addHosts(sourceSelection, reply.rows.map(({ value }) => value).filter(isKnownHost))
     } else logger.warn('reading entry hosts failed', { outcome: reply.outcome, reason: reply.reason })
   }
 
@@ -105,3 +106,9 @@
     }
   }
 }
+
+/** Whether a row describes a host; other programs may write rows as well. */
+function isKnownHost (value: unknown): value is KnownHost {
+  const { name, peerAddress, guestAddress, processorShare } = (value ?? {}) as Partial<KnownHost>
+  return typeof name === 'string' && typeof processorShare === 'number' && [peerAddress, guestAddress].every(isAddress)
+}
--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -12,6 +12,7 @@
 import { recordStoreRecovery } from '@siskinbeam/server-registry/serverRegistry'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import type { PlatformHost } from '../platformHost.js'
+import { logIgnoredEntries } from './ignoredEntries.js'
 import type { View } from './view.js'
 
 export interface StoreWatch {
@@ -73,6 +74,7 @@
 /** Creates the watch, which is started separately. */
 export function watchStore ({ host, view, store, isNeeded, onFailing }: WatchStoreOptions): StoreWatch {
   const { now, logger } = host
+  const logIgnored = logIgnoredEntries({ logger, count: host.metrics.count, now })
   const watches: TableWatch[] = [
     {
       table: Table.Operator,
@@ -98,7 +100,11 @@
       lostAt: undefined,
       calledAt: -Infinity,
       interrupt: () => {},
-      apply: (rows, whole, version) => view.applyServers({ whole, era, version, changes: rows.map(parseServerRow) }, 'store')
+      apply: (rows, whole, version) => {
+        const parsed = rows.map(parseServerRow)
+        logIgnored(parsed)
+        view.applyServers({ whole, era, version, changes: parsed.map(({ id, version: changedAt, server }) => ({ id, version: changedAt, server })) }, 'store')
+      }
     },
     {
       table: Table.CrashSuspects,
--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -234,3 +234,26 @@
   assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200))
   assert.deepEqual([left.received.length, remaining.received.length], [0, 10])
 }))
+
+test('thousands of entries of another writer, before and after the start of hosts, neither end them nor keep them from following the list', () => withHosts(2, 1, async (platform, servers) => {
+  const odd = [7, null, [], 'text', { service: undefined }, { address: '127.0.0.1:70000' }, { address: '127.0.0.1:0' }, { slots: 1e300 }, { slots: -1 }, { born: 1.5 }, { warmupLeftS: 1e308 }, { service: 'desk\0' }]
+  const [server] = servers as [ScriptedServer]
+  const writeAll = (): void => Array.from({ length: 3_000 }, (_, index) => index).forEach(index => {
+    const change = odd[index % odd.length]
+    platform.store.put('servers', `odd-${index}`, typeof change === 'object' && change !== null && !Array.isArray(change) ? describeEntry(server, change) : change)
+  })
+  writeAll()
+  platform.store.put('servers', 'i\r\nx: y', describeEntry(server))
+  platform.store.putRaw('servers', 'raw', Buffer.from(`{"service":${'['.repeat(20_000)}`).toString('base64'))
+  platform.store.put('entry-hosts', 'odd', { name: 'odd', peerAddress: '127.0.0.1:99999', guestAddress: 7, processorShare: 1 }, 'north')
+  const joined = await startServer(respondNormally)
+  platform.store.put('servers', joined.id, describeEntry(joined))
+  await platform.startHost({ seedPeers: ['127.0.0.1:9'] })
+  await waitUntil('all hosts know the servers that are valid', () => knownServers(platform).every(count => count === 2))
+  const responses = await Promise.all(platform.settings.flatMap((settings, host) => Array.from({ length: 10 }, (_, index) => sendRequest(settings.guestAddress, '/reads/7', { id: `r-${host}-${index}` }))))
+  assert.ok(responses.every(({ status }) => status === 200))
+  assert.ok(platform.logs.some(line => line.includes('event="server entry ignored"') && line.includes('code=406')))
+  assert.ok(platform.logs.filter(line => line.includes('event="server entry ignored"')).length <= 20 * 3)
+  assert.ok(!platform.logs.some(line => line.includes('event="process failed"') || line.includes('event="request path failed"')))
+  joined.stop()
+}))
