Leave servers alone that say that they leave or want a pause

Each response, also to a health check, is recorded for that start of the server; every choice of a server asks the record, so no request, retry, hedge, health check or trial goes there. If all servers pause, requests are refused at once as not run, with code 211 and the time until the first one ends.

--- a/core/result-codes/src/resultCode.ts
+++ b/core/result-codes/src/resultCode.ts
@@ -33,6 +33,7 @@
   CrashSuspect = 208,
   GuestCancelled = 209,
   ServersAtLimit = 210,
+  ServersPaused = 211,
 
   StoreUnavailable = 301,
   ClaimInProgress = 302,
@@ -46,6 +47,7 @@
   AnswerMalformed = 404,
   ServerLimitInvalid = 405,
   ServerEntryInvalid = 406,
+  ServerNoticeInvalid = 407,
 
   BundleInvalid = 501,
   BundleVersionStale = 502,
--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -15,6 +15,7 @@
 import type { Permits } from './dataCentre/permits.js'
 import type { ServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import type { LimitedServers } from './servers/limitedServers.js'
+import type { NoticedServers } from './servers/noticedServers.js'
 import type { ServerDeaths } from './servers/serverDeaths.js'
 import type { ServerEndpoints } from './servers/serverEndpoints.js'
 
@@ -39,6 +40,8 @@
   endpoints: ServerEndpoints
   /** Servers that have named a limit. */
   limitedServers: LimitedServers
+  /** Servers that leave or pause by their own word. */
+  noticedServers: NoticedServers
   /** Requests that crash the servers that run them. */
   crashes: CrashDetection
   crashRows: CrashRows
--- a/daemon/platform-host/src/requestPath/chooseProbedServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseProbedServer.ts
@@ -35,12 +35,12 @@
   const probeRound = async (round: number, earlier: ProbedServer[]): Promise<RankedServer<ProbedServer> | undefined> => {
     const now = host.now()
     const candidates = host.endpoints.listService(exchange.service)
-      .filter(endpoint => endpoint.acceptsRequests() && !probed.has(endpoint) && host.limitedServers.find(endpoint.server) === undefined && (options.onlyAddress === undefined || endpoint.server.address === options.onlyAddress))
+      .filter(endpoint => endpoint.acceptsRequests() && host.noticedServers.isAvailable(endpoint.server) && !probed.has(endpoint) && host.limitedServers.find(endpoint.server) === undefined && (options.onlyAddress === undefined || endpoint.server.address === options.onlyAddress))
       .map(endpoint => ({ endpoint, sameDataCentre: endpoint.server.dataCentre === host.settings.dataCentre, preferred: endpoint.preferred, avoided: endpoint.backoffUntil > now }))
     const endpoints = selectServersToProbe({ candidates, round, random: host.random }).map(({ endpoint }) => endpoint)
     endpoints.forEach(endpoint => probed.add(endpoint))
-    const results = await probeServers({ endpoints, healthPath, now: host.now, limitedServers: host.limitedServers, onProbed: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
-    const responsive = [...earlier, ...results].filter(({ endpoint }) => endpoint.acceptsRequests())
+    const results = await probeServers({ endpoints, healthPath, now: host.now, limitedServers: host.limitedServers, noticedServers: host.noticedServers, onProbed: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
+    const responsive = [...earlier, ...results].filter(({ endpoint }) => endpoint.acceptsRequests() && host.noticedServers.isAvailable(endpoint.server))
     const best = rankProbed(responsive, exchange, serviceTimeMilliseconds)
     if (isGoodEnough(best, serviceTimeMilliseconds) || endpoints.length === 0 || round + 1 >= options.rounds || exchange.finished) return best
     return probeRound(round + 1, responsive)
--- a/daemon/platform-host/src/requestPath/chooseServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseServer.ts
@@ -46,7 +46,7 @@
 
 function listLimited ({ host, service }: GuestExchange, tried: ReadonlySet<ServerEndpoint>): ServerEndpoint[] {
   const now = host.now()
-  return host.endpoints.listService(service).filter(endpoint => endpoint.acceptsRequests() && endpoint.backoffUntil <= now && !tried.has(endpoint) && host.limitedServers.find(endpoint.server) !== undefined)
+  return host.endpoints.listService(service).filter(endpoint => endpoint.acceptsRequests() && host.noticedServers.isAvailable(endpoint.server) && endpoint.backoffUntil <= now && !tried.has(endpoint) && host.limitedServers.find(endpoint.server) !== undefined)
 }
 
 /** Takes a permit of any limited server, or of the one that is wanted, and waits until it is due. */
@@ -55,7 +55,7 @@
   const remainingMilliseconds = exchange.deadlineAt - host.now()
   const result = await host.permits.take({
     service,
-    excluded: host.endpoints.listService(service).filter(endpoint => tried.has(endpoint) || endpoint.backoffUntil > host.now()).map(({ server }) => host.limitedServers.keyOf(server)),
+    excluded: host.endpoints.listService(service).filter(endpoint => tried.has(endpoint) || endpoint.backoffUntil > host.now() || !host.noticedServers.isAvailable(endpoint.server)).map(({ server }) => host.limitedServers.keyOf(server)),
     server: wanted?.server,
     waitMilliseconds: wanted === undefined ? Math.max(0, maximumWaitRatio * (remainingMilliseconds - serviceTimeMilliseconds)) : 0,
     isUrgent: exchange.sends === 0 && route !== undefined && host.routes()?.isLessImportant(route, service) !== true
@@ -67,7 +67,7 @@
 async function awaitPermit (exchange: GuestExchange, { server, delayMilliseconds }: Extract<PermitResult, { granted: true }>, serviceTimeMilliseconds: number): Promise<RankedServer<ProbedServer> | undefined> {
   const { host, service } = exchange
   if (delayMilliseconds > 0) await new Promise(resolve => setTimeout(resolve, delayMilliseconds))
-  const endpoint = host.endpoints.listService(service).find(each => each.server.id === server.id && each.acceptsRequests())
+  const endpoint = host.endpoints.listService(service).find(each => each.server.id === server.id && each.acceptsRequests() && host.noticedServers.isAvailable(each.server))
   if (endpoint === undefined || exchange.finished) return undefined
   return rankProbed([describeUnprobed(endpoint, host.now())], exchange, serviceTimeMilliseconds)
 }
--- a/daemon/platform-host/src/requestPath/forwardRequest.ts
+++ b/daemon/platform-host/src/requestPath/forwardRequest.ts
@@ -38,6 +38,8 @@
 const minimumRemainingRatio = 0.5
 const shortRetryAfterMilliseconds = 60
 const maximumRetryAfterMilliseconds = 400
+/** Guests return spread over this share of the time until a server ends its pause. */
+const pauseSpreadRatio = 0.2
 /** A check takes a few milliseconds, and so does the write that shares its result. */
 const maximumDeathCheckMilliseconds = 150
 /** Outcomes of sends that a server may have run, for the first send as well as for a hedge that loses the race. */
@@ -76,6 +78,11 @@
     refuseNotRun(forwarded, ResultCode.ServersAtLimit, 'servers are at the limits that they have named', Math.max(shortRetryAfterMilliseconds, limitRetryAfterMilliseconds))
     return
   }
+  const pauseMilliseconds = choice === undefined ? host.noticedServers.findReturnMilliseconds(host.endpoints.listService(exchange.service).filter(endpoint => endpoint.acceptsRequests()).map(({ server }) => server)) : undefined
+  if (pauseMilliseconds !== undefined) {
+    refuseNotRun(forwarded, ResultCode.ServersPaused, 'servers want no requests from this host', pauseMilliseconds * (1 + pauseSpreadRatio * host.random()))
+    return
+  }
   if (choice === undefined) {
     refuseNotRun(forwarded, tried.size === 0 ? ResultCode.NoServer : ResultCode.ServersRefused, 'no server responded to a probe', maximumRetryAfterMilliseconds)
     return
@@ -114,6 +121,7 @@
     refuseNotRun(forwarded, ResultCode.Overloaded, `best server would need an estimated ${Math.round(estimatedLatencyMilliseconds)} of ${Math.round(remainingMilliseconds)} ms`, retryAfterMilliseconds)
     return
   }
+  if (!host.noticedServers.isAvailable(choice.server.endpoint.server)) return attemptSend(forwarded)
   // Another host may have reported a death while the servers were probed.
   if (isRefusedNow(exchange)) {
     refuseSuspect(forwarded)
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -81,7 +81,7 @@
   })
   endpoint.inFlight -= 1
   cancels.forEach(cancel => exchange.cancelSends.delete(cancel))
-  recordLimit(exchange, endpoint.server, purpose, result, sentAt)
+  recordStatements(exchange, endpoint.server, purpose, result, sentAt)
   const sent = classify(result)
   recordSendEnd(exchange, endpoint, send, result)
   host.metrics.count(`sends_total{outcome="${sent.outcome}"}`)
@@ -109,10 +109,12 @@
   if (result.outcome === ExchangeOutcome.Responded && !readResponseMetadata(result.received.status, result.received.headers).notExecuted) crashes.recordResponse(exchange)
 }
 
-function recordLimit ({ host }: GuestExchange, server: RegisteredServer, purpose: ContactPurpose, result: ExchangeResult, sentAt: number): void {
+/** Records what the response says of the server. */
+function recordStatements ({ host }: GuestExchange, server: RegisteredServer, purpose: ContactPurpose, result: ExchangeResult, sentAt: number): void {
   if (result.outcome !== ExchangeOutcome.Responded) return
   const { status, headers } = result.received
-  const { limit, signed } = readResponseMetadata(status, headers)
+  const { limit, signed, notices } = readResponseMetadata(status, headers)
+  host.noticedServers.recordResponse(server, notices, purpose)
   host.limitedServers.recordResponse({ server, purpose, limit, sentAt, isConclusive: signed && status < 300 })
 }
 
@@ -146,8 +148,8 @@
 function recordOutcome (exchange: GuestExchange, { endpoint, load }: ProbedServer, sent: SendResult): void {
   const { host } = exchange
   const failed = failedOutcomes.has(sent.outcome)
-  // A full server resets connections without being ill.
-  const isConclusive = sent.outcome !== SendOutcome.Cancelled && !(failed && load.running + load.waiting >= load.slots)
+  // A full server resets connections without being ill, and one that wants a pause is not ill either.
+  const isConclusive = sent.outcome !== SendOutcome.Cancelled && !(failed && (load.running + load.waiting >= load.slots || !host.noticedServers.isAvailable(endpoint.server)))
   if (sent.outcome === SendOutcome.NotSent) recordUnreachable(endpoint, host.now())
   if (isConclusive) {
     recordSendOutcome(endpoint, failed)
--- a/daemon/platform-host/src/servers/probeServers.ts
+++ b/daemon/platform-host/src/servers/probeServers.ts
@@ -6,6 +6,7 @@
 import type { ProbedLoad } from '@siskinbeam/server-ranking/rankServers'
 import { ContactPurpose, type LimitedServers } from './limitedServers.js'
 import { ExchangeOutcome, type ExchangeResult, type ServerConnection } from './serverConnection.js'
+import type { NoticedServers } from './noticedServers.js'
 import { recordReachable, recordUnreachable, type ServerEndpoint } from './serverEndpoint.js'
 
 /** A server that responded, with the connection to use. */
@@ -27,6 +28,7 @@
   healthPath: string
   now: () => number
   limitedServers: LimitedServers
+  noticedServers: NoticedServers
   onProbed: (outcome: ExchangeOutcome) => void
 }
 
@@ -92,8 +94,11 @@
   })
   options.onProbed(result.outcome)
   if (result.outcome === ExchangeOutcome.Responded) {
-    const { limit, serverId = endpoint.server.id } = readResponseMetadata(result.received.status, result.received.headers)
-    if (serverId === endpoint.server.id) options.limitedServers.recordResponse({ server: endpoint.server, purpose: ContactPurpose.HealthCheck, limit, sentAt, isConclusive: false })
+    const { limit, notices, serverId = endpoint.server.id } = readResponseMetadata(result.received.status, result.received.headers)
+    if (serverId === endpoint.server.id) {
+      options.limitedServers.recordResponse({ server: endpoint.server, purpose: ContactPurpose.HealthCheck, limit, sentAt, isConclusive: false })
+      options.noticedServers.recordResponse(endpoint.server, notices, ContactPurpose.HealthCheck)
+    }
   }
   return result
 }
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -36,6 +36,7 @@
 import type { PlatformHost, ShutdownTimes } from './platformHost.js'
 import { createServiceTimeEstimates } from './requestPath/serviceTimeEstimates.js'
 import { createLimitedServers } from './servers/limitedServers.js'
+import { createNoticedServers } from './servers/noticedServers.js'
 import { createServerDeaths } from './servers/serverDeaths.js'
 import { createServerEndpoints } from './servers/serverEndpoints.js'
 
@@ -117,6 +118,7 @@
     routes: () => view.routes(),
     endpoints,
     limitedServers: createLimitedServers({ logger, count: metrics.count, now, findServer: id => view.registry.servers.get(id)?.server, onChange: () => peerServer.answerChanged() }),
+    noticedServers: createNoticedServers({ logger, count: metrics.count, now, random }),
     crashes,
     crashRows,
     serverDeaths: createServerDeaths({ now, onDeath: death => crashRows.write(crashes.recordDeath(death)) }),
@@ -196,6 +198,7 @@
   metrics.gauge('view_age_milliseconds', () => now() - follower.confirmedAt())
   metrics.gauge('known_servers', () => view.registry.servers.size)
   metrics.gauge('limited_servers', () => host.limitedServers.list().length)
+  metrics.gauge('noticed_servers', () => host.noticedServers.list().length)
   metrics.gauge('crash_suspects', () => crashes.list().length)
   metrics.gauge('live_entry_hosts', () => members.list().length)
   metrics.gauge('in_flight', guestListener.inFlight)
@@ -214,6 +217,7 @@
     limitedServers: host.limitedServers.list(),
     permitOwners: permits.listOwners(),
     crashSuspects: crashes.list(),
+    noticedServers: host.noticedServers.list(),
     servers: [...view.registry.servers.values()],
     metrics: metrics.snapshot()
   })
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -31,6 +31,8 @@
   healthStatus: number
   /** Limit that the responses to guests' requests name; none if undefined. */
   limit: string | undefined
+  /** Headers of all responses. */
+  headers: Record<string, string>
   /** When requests and health checks arrived, in milliseconds of the monotonic clock. */
   contacts: number[]
   sockets: Set<Socket>
@@ -53,10 +55,11 @@
 /** Starts a server on a free port. */
 export async function startServer (script: ServerScript = respondNormally): Promise<ScriptedServer> {
   serverCount += 1
-  const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, limit: undefined, contacts: [], sockets: new Set(), resetsConnections: false, onIdleRequest: undefined, stop: () => {} }
+  const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, limit: undefined, headers: {}, contacts: [], sockets: new Set(), resetsConnections: false, onIdleRequest: undefined, stop: () => {} }
   const usedSockets = new WeakSet<Socket>()
   const listener = createHttpServer((request, response) => {
     server.contacts.push(performance.now())
+    Object.entries(server.headers).forEach(([name, value]) => response.setHeader(name, value))
     if (server.limit !== undefined && request.url !== '/health') response.setHeader('server-limit', server.limit)
     const takeIdleRequest = usedSockets.has(request.socket) ? server.onIdleRequest : undefined
     usedSockets.add(request.socket)
