--- a/daemon/platform-host/src/dataCentre/watchStore.ts
+++ b/daemon/platform-host/src/dataCentre/watchStore.ts
@@ -67,6 +67,8 @@
 const connectionCheckMilliseconds = 400
 /** Keeps a call that fails at once from being repeated without a pause. */
 const interruptedPauseMilliseconds = 10
+/** A long poll without changes confirms a table within this time. */
+const recentMilliseconds = 3_000
 const crashRowCheckMilliseconds = 1_000
 /** Tables without which a host serves no requests. */
 const initialTables = new Set([Table.Operator, Table.Servers])
@@ -172,6 +174,11 @@
         yield sleep(idlePollMilliseconds)
         continue
       }
+      // A host that starts to watch the store in an outage finds out by the tables that it needs to serve requests.
+      if (!initialTables.has(watch.table) && watches.some(other => initialTables.has(other.table) && now() - other.confirmedAt > recentMilliseconds)) {
+        yield sleep(idlePollMilliseconds)
+        continue
+      }
       // During an outage, only the first failing table is retried on behalf of all.
       if (watch.failingSince !== undefined && watches.some(other => other !== watch && other.failingSince !== undefined && watches.indexOf(other) < watches.indexOf(watch))) {
         yield sleep(idlePollMilliseconds)
