Let the soak bring the store back from an older copy

Faults of the kind restore-store take a copy, let the store be away for up to 2 s, put the copy in its place, and let the operator and the servers write again what they had written; entries of servers that are gone lapse 3 s later. Servers of the soak now write their own start and an increasing sequence, as the platform's do; before, each entry had another start.

--- a/bench/soak/src/injectFault.ts
+++ b/bench/soak/src/injectFault.ts
@@ -14,6 +14,8 @@
 const gracePeriodMilliseconds = 6_000
 const writeDelayMilliseconds = 1_500
 const linkDelayMilliseconds = 120
+/** The store is away for up to this long before it comes back from a copy. */
+const maximumAwayMilliseconds = 2_000
 const affectedRatio = 0.4
 const limitsPerSecond = [0, 0.5, 1, 1.2, 2, 4]
 /** Faults that kill or replace a server are skipped when this many servers or fewer are running. */
@@ -111,6 +113,15 @@
   [FaultKind.StoreDelaysWrites]: createStoreFaultInjector({ writeDelayMilliseconds }, { writeDelayMilliseconds: undefined }),
   [FaultKind.StoreReadsStale]: createStoreFaultInjector({ staleFeed: true }, { staleFeed: false }),
   [FaultKind.StoreDropsHistory]: async ({ store }) => store.dropHistory(),
+  [FaultKind.RestoreStore]: async ({ store, writeAgain }, { durationMilliseconds, target }) => {
+    const copy = store.takeCopy()
+    await pause(durationMilliseconds)
+    store.faults.refuseStatus = 503
+    await pause(maximumAwayMilliseconds * target)
+    store.restore(copy)
+    store.faults.refuseStatus = undefined
+    await writeAgain()
+  },
   [FaultKind.ChangeConfiguration]: async fleet => fleet.publishConfiguration(),
   [FaultKind.LimitServer]: async (fleet, fault) => {
     const server = pickServer(fleet, fault)
--- a/bench/soak/src/planFaults.ts
+++ b/bench/soak/src/planFaults.ts
@@ -26,6 +26,8 @@
   StoreReadsStale = 'store-reads-stale',
   StoreDropsHistory = 'store-drops-history',
   ChangeConfiguration = 'change-configuration',
+  /** The store is away, and comes back from a copy that was made at the start of the fault. */
+  RestoreStore = 'restore-store',
   /** A server names a limit. */
   LimitServer = 'limit-server'
 }
@@ -46,9 +48,11 @@
   only?: readonly FaultKind[] | undefined
 }
 
-/** Limits are drawn apart, so that the other faults of a seed stay the same. */
-const kinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.LimitServer)
+/** Limits and restores are drawn apart, so that the other faults of a seed stay the same. */
+const kinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.LimitServer && kind !== FaultKind.RestoreStore)
 const limitSeed = 0x5eed
+const restoreSeed = 0xc09e
+const maximumRestores = 2
 const maximumLimits = 4
 const minimumLimitMilliseconds = 7_000
 const maximumLimitMilliseconds = 14_000
@@ -69,7 +73,7 @@
     if (at >= end) return []
     return [...drawSeries(random, at), ...draw(at)]
   }
-  return [...draw(faultFreeMilliseconds), ...drawLimits(seed, milliseconds)].filter(({ at, kind }) => at < end && only.includes(kind)).sort((first, second) => first.at - second.at)
+  return [...draw(faultFreeMilliseconds), ...drawLimits(seed, milliseconds), ...drawRestores(seed, milliseconds)].filter(({ at, kind }) => at < end && only.includes(kind)).sort((first, second) => first.at - second.at)
 }
 
 function drawLimits (seed: number, milliseconds: number): PlannedFault[] {
@@ -82,6 +86,16 @@
   }))
 }
 
+function drawRestores (seed: number, milliseconds: number): PlannedFault[] {
+  const random = createRandom(seed ^ restoreSeed)
+  return Array.from({ length: pickIndex(random, maximumRestores + 1) }, () => ({
+    kind: FaultKind.RestoreStore,
+    at: faultFreeMilliseconds + milliseconds * random(),
+    durationMilliseconds: minimumFaultMilliseconds + (maximumFaultMilliseconds - minimumFaultMilliseconds) * random(),
+    target: random()
+  }))
+}
+
 function drawSeries (random: Random, at: number): PlannedFault[] {
   const kind = kinds[pickIndex(random, kinds.length)] as FaultKind
   const count = random() < seriesProbability ? 2 + pickIndex(random, maximumSeriesLength - 1) : 1
--- a/bench/soak/src/startFleet.ts
+++ b/bench/soak/src/startFleet.ts
@@ -33,6 +33,9 @@
   setLimit: (requestsPerSecond: number | undefined) => void
   /** When the store accepted the entry that marks the server as draining; epoch milliseconds. */
   drainingSince: number | undefined
+  startedAt: number
+  /** Number of the entries that the server has written. */
+  entries: number
 }
 
 export interface Fleet {
@@ -48,6 +51,8 @@
   /** Marks a server as draining, then removes it from the store and kills it after the drain time. */
   retireServer: (server: SoakServer) => Promise<void>
   publishConfiguration: () => void
+  /** Writes what the operator and the servers have written last once more, after the store has lost it. */
+  writeAgain: () => Promise<void>
   stop: () => Promise<void>
 }
 
@@ -66,6 +71,9 @@
 const slots = 4
 const maximumAttempts = 3
 const versionStep = 3
+/** The operator and the servers write again this long after the store is back; entries of servers that are gone lapse later. */
+const rewriteMilliseconds = 400
+const lapseMilliseconds = 3_000
 
 /** Starts the store, the servers and the entry hosts. */
 export async function startFleet ({ directory, hosts: hostCount, servers: serverCount }: StartFleetOptions): Promise<Fleet> {
@@ -75,9 +83,23 @@
   const servers: SoakServer[] = []
   let startedServers = 0
 
-  const writeServerEntry = (server: SoakServer, isDraining: boolean): void => store.put(Table.Servers, server.id, createServerEntry({
-    service, address: server.link.address, dataCentre: dataCentres[startedServers % dataCentres.length] ?? '', slots, isDraining, sequence: startedServers, startedAt: Date.now()
+  const writeServerEntry = (server: SoakServer): void => {
+    server.entries += 1
+    store.put(Table.Servers, server.id, createServerEntry({
+      service,
+      address: server.link.address,
+      dataCentre: dataCentres[Number(server.id.slice(server.id.indexOf('-') + 1)) % dataCentres.length] ?? '',
+      slots,
+      isDraining: server.drainingSince !== undefined,
+      sequence: server.entries,
+      startedAt: server.startedAt
+    }))
+  }
+  const writeConfiguration = (): void => store.put(Table.Operator, configurationKey, createConfiguration({
+    version: fleet.configurationVersion, guestHost, service, routeTimeoutMilliseconds, maximumAttempts
   }))
+  /** Servers whose entry is in the store, also those that are leaving. */
+  const registered = new Set<SoakServer>()
 
   const startServer = async (): Promise<SoakServer> => {
     startedServers += 1
@@ -90,17 +112,19 @@
       environment: {},
       logFile: join(directory, `server-${id}.log`)
     })
-    const server: SoakServer = { id, link: await startFaultyProxy(`127.0.0.1:${port}`), child, setLimit: requestsPerSecond => requestsPerSecond === undefined ? rmSync(limitFile, { force: true }) : writeFileSync(limitFile, String(requestsPerSecond)), drainingSince: undefined }
+    const server: SoakServer = { id, link: await startFaultyProxy(`127.0.0.1:${port}`), child, setLimit: requestsPerSecond => requestsPerSecond === undefined ? rmSync(limitFile, { force: true }) : writeFileSync(limitFile, String(requestsPerSecond)), drainingSince: undefined, startedAt: Date.now(), entries: 0 }
     servers.push(server)
-    writeServerEntry(server, false)
+    registered.add(server)
+    writeServerEntry(server)
     return server
   }
 
   const retireServer = async (server: SoakServer): Promise<void> => {
     servers.splice(servers.indexOf(server), 1)
-    writeServerEntry(server, true)
     server.drainingSince = Date.now()
+    writeServerEntry(server)
     await pause(drainMilliseconds + drainMarginMilliseconds)
+    registered.delete(server)
     store.remove(Table.Servers, server.id)
     server.child.signal('SIGKILL')
     server.link.close()
@@ -117,9 +141,17 @@
     retireServer,
     publishConfiguration: () => {
       fleet.configurationVersion += versionStep
-      store.put(Table.Operator, configurationKey, createConfiguration({
-        version: fleet.configurationVersion, guestHost, service, routeTimeoutMilliseconds, maximumAttempts
-      }))
+      writeConfiguration()
+    },
+    writeAgain: async () => {
+      await pause(rewriteMilliseconds)
+      writeConfiguration()
+      registered.forEach(server => {
+        if (server.child.isRunning()) writeServerEntry(server)
+      })
+      await pause(lapseMilliseconds)
+      const live = new Set([...registered].filter(({ child }) => child.isRunning()).map(({ id }) => id))
+      store.read(Table.Servers).filter(({ key }) => !live.has(key)).forEach(({ key }) => store.remove(Table.Servers, key))
     },
     stop: async () => {
       const children = [...hosts, ...servers].map(({ child }) => child)
