Let the soak repeat a request that crashes servers

A guest sends it every 0.3 s for 8 s, each time to the next host; servers that end are replaced. The new check follows the users' rule: at most three retries later than 3 s after the third crash, by hosts that were undisturbed while the store was.

--- a/bench/soak/src/driveGuests.ts
+++ b/bench/soak/src/driveGuests.ts
@@ -6,27 +6,9 @@
 import { createRandom, drawExponential, pickIndex, type Random } from '@siskinbeam/random/createRandom'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { signResponse, formatResponseBody } from '@siskinbeam/stand-in-platform-server/responseBody'
+import type { ObservedRequest } from './observedRequest.js'
 import { guestHost, type SoakHost } from './startFleet.js'
 
-/** The outcome of one request as its guest observed it. Times are epoch milliseconds. */
-export interface ObservedRequest {
-  id: string
-  unsafe: boolean
-  host: string
-  sentAt: number
-  endedAt: number
-  /** 0 if the connection ended without a complete response. */
-  status: number
-  /** Whether the body is the complete response to this request, with the signature of a server. */
-  isExpectedResponse: boolean
-  /** Whether the request was sent on a connection that had carried an earlier one. */
-  reused: boolean
-  /** Whether the head of a response arrived. */
-  hasResponseBytes: boolean
-  /** ID of the server whose limit the response named. */
-  limitedServer: string | undefined
-}
-
 export interface DriveGuestsOptions {
   hosts: SoakHost[]
   seed: number
@@ -83,13 +65,15 @@
   agent: Agent | false
   id: string
   unsafe: boolean
+  /** Part of the path and of the body that identifies the content; the ID by default. */
+  content?: string
 }
 
 /** Sends one request of a guest and returns its outcome. */
-export async function sendGuestRequest ({ host, agent, id, unsafe }: SendGuestRequestOptions): Promise<ObservedRequest> {
+export async function sendGuestRequest ({ host, agent, id, unsafe, content = id }: SendGuestRequestOptions): Promise<ObservedRequest> {
   const method = unsafe ? 'POST' : 'GET'
-  const path = unsafe ? `/bookings/${id}` : `/reads/${id}`
-  const body = unsafe ? `booking ${id}` : ''
+  const path = unsafe ? `/bookings/${content}` : `/reads/${content}`
+  const body = unsafe ? `booking ${content}` : ''
   const sentAt = Date.now()
   const response = await sendHttpRequest({
     address: host.guestAddress,
--- a/bench/soak/src/findLimitViolations.ts
+++ b/bench/soak/src/findLimitViolations.ts
@@ -3,7 +3,7 @@
 // hosts do.
 import { RunEvent, type RunLogEntry } from '@siskinbeam/stand-in-platform-server/runLogEntry'
 import type { Disturbance } from './disturbance.js'
-import type { ObservedRequest } from './driveGuests.js'
+import type { ObservedRequest } from './observedRequest.js'
 import { ViolationKind, type Violation } from './findViolations.js'
 import type { LimitPeriod } from './limitPeriod.js'
 
--- a/bench/soak/src/findViolations.ts
+++ b/bench/soak/src/findViolations.ts
@@ -1,7 +1,7 @@
 // Compares the responses that guests received with the requests that servers ran, and reports each violated guarantee.
 import { RunEvent, type RunLogEntry } from '@siskinbeam/stand-in-platform-server/runLogEntry'
 import { DisturbanceKind, type Disturbance } from './disturbance.js'
-import type { ObservedRequest } from './driveGuests.js'
+import type { ObservedRequest } from './observedRequest.js'
 
 export enum ViolationKind {
   /** A request that may run at most once ran more than once. */
@@ -20,6 +20,8 @@
   RanOnLeavingServer = 'ran-on-leaving-server',
   /** Hosts that knew the limit of a server sent it more than that allows. */
   OverLimit = 'over-limit',
+  /** A request that crashes servers was sent to further ones. */
+  CrashedServers = 'crashed-servers',
   /** The process of a host exited without a signal from the soak. */
   EndedByItself = 'ended-by-itself'
 }
--- a/bench/soak/src/injectFault.ts
+++ b/bench/soak/src/injectFault.ts
@@ -3,7 +3,8 @@
 import { Path, Table } from '@siskinbeam/platform-adapter/wire'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
 import { DisturbanceKind, type Disturbance } from './disturbance.js'
-import { sendHttpRequest } from './driveGuests.js'
+import { crashPathMarker } from '@siskinbeam/stand-in-platform-server/crashPathMarker'
+import { sendGuestRequest, sendHttpRequest } from './driveGuests.js'
 import { faultFreeLink } from './faultyProxy.js'
 import { FaultKind, type PlannedFault } from './planFaults.js'
 import { type Fleet, type SoakHost, type SoakServer } from './startFleet.js'
@@ -16,6 +17,9 @@
 const linkDelayMilliseconds = 120
 /** The store is away for up to this long before it comes back from a copy. */
 const maximumAwayMilliseconds = 2_000
+const repeatMilliseconds = 300
+/** Entries of servers that have crashed expire after this time. */
+const lapseMilliseconds = 3_000
 const affectedRatio = 0.4
 const limitsPerSecond = [0, 0.5, 1, 1.2, 2, 4]
 /** Faults that kill or replace a server are skipped when this many servers or fewer are running. */
@@ -69,6 +73,19 @@
   await fleet.retireServer(server)
 }
 
+async function replaceCrashed (fleet: Fleet, server: SoakServer): Promise<void> {
+  fleet.servers.splice(fleet.servers.indexOf(server), 1)
+  await fleet.startServer()
+  await pause(lapseMilliseconds)
+  fleet.store.remove(Table.Servers, server.id)
+  server.link.close()
+}
+
+const storeFaults = new Set([
+  FaultKind.StoreRefuses, FaultKind.StoreUnresponsive, FaultKind.StoreLosesReplies, FaultKind.StoreDelaysWrites, FaultKind.StoreReadsStale, FaultKind.StoreDropsHistory,
+  FaultKind.RestoreStore, FaultKind.BlockStoreLink, FaultKind.ResetStoreLinks
+])
+
 const faultInjectors: Record<FaultKind, FaultInjector> = {
   [FaultKind.KillHost]: (fleet, fault) => restartHost(pickHost(fleet, fault), 'SIGKILL'),
   [FaultKind.StopHost]: (fleet, fault) => restartHost(pickHost(fleet, fault), 'SIGTERM'),
@@ -122,6 +139,19 @@
     store.faults.refuseStatus = undefined
     await writeAgain()
   },
+  [FaultKind.CrashingRequest]: async (fleet, { durationMilliseconds, target }) => {
+    const content = `${crashPathMarker}-${Math.floor(target * 1e6)}`
+    const unsafe = target < 0.5
+    const end = Date.now() + durationMilliseconds
+    const pending: Array<Promise<void>> = []
+    for (let sent = 0; Date.now() < end; sent += 1) {
+      const host = fleet.hosts[sent % fleet.hosts.length] as SoakHost
+      pending.push(sendGuestRequest({ host, agent: false, id: `${content}-${sent}`, unsafe, content }).then(copy => { fleet.crashCopies.push({ ...copy, content }) }))
+      await pause(repeatMilliseconds)
+      pending.push(...fleet.servers.filter(({ child }) => !child.isRunning()).map(server => replaceCrashed(fleet, server)))
+    }
+    await Promise.all(pending)
+  },
   [FaultKind.ChangeConfiguration]: async fleet => fleet.publishConfiguration(),
   [FaultKind.LimitServer]: async (fleet, fault) => {
     const server = pickServer(fleet, fault)
@@ -143,6 +173,9 @@
 }
 
 /** Injects a fault and waits until it is over. */
-export function injectFault (fleet: Fleet, fault: PlannedFault): Promise<void> {
-  return faultInjectors[fault.kind](fleet, fault)
+export async function injectFault (fleet: Fleet, fault: PlannedFault): Promise<void> {
+  const disturbance = { from: Date.now(), to: Infinity }
+  if (storeFaults.has(fault.kind)) fleet.storeDisturbances.push(disturbance)
+  await faultInjectors[fault.kind](fleet, fault)
+  disturbance.to = Date.now()
 }
--- a/bench/soak/src/planFaults.ts
+++ b/bench/soak/src/planFaults.ts
@@ -28,6 +28,8 @@
   ChangeConfiguration = 'change-configuration',
   /** The store is away, and comes back from a copy that was made at the start of the fault. */
   RestoreStore = 'restore-store',
+  /** A guest sends a request that crashes the servers that run it, again and again. */
+  CrashingRequest = 'crashing-request',
   /** A server names a limit. */
   LimitServer = 'limit-server'
 }
@@ -48,11 +50,15 @@
   only?: readonly FaultKind[] | undefined
 }
 
-/** Limits and restores are drawn apart, so that the other faults of a seed stay the same. */
-const kinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.LimitServer && kind !== FaultKind.RestoreStore)
+/** Drawn apart, so that the other faults of a seed stay the same. */
+const separateKinds = [FaultKind.LimitServer, FaultKind.RestoreStore, FaultKind.CrashingRequest]
+const kinds = Object.values(FaultKind).filter(kind => !separateKinds.includes(kind))
 const limitSeed = 0x5eed
 const restoreSeed = 0xc09e
 const maximumRestores = 2
+const crashSeed = 0xdead
+const crashProbability = 0.6
+const crashMilliseconds = 8_000
 const maximumLimits = 4
 const minimumLimitMilliseconds = 7_000
 const maximumLimitMilliseconds = 14_000
@@ -73,7 +79,7 @@
     if (at >= end) return []
     return [...drawSeries(random, at), ...draw(at)]
   }
-  return [...draw(faultFreeMilliseconds), ...drawLimits(seed, milliseconds), ...drawRestores(seed, milliseconds)].filter(({ at, kind }) => at < end && only.includes(kind)).sort((first, second) => first.at - second.at)
+  return [...draw(faultFreeMilliseconds), ...drawLimits(seed, milliseconds), ...drawRestores(seed, milliseconds), ...drawCrashes(seed, milliseconds)].filter(({ at, kind }) => at < end && only.includes(kind)).sort((first, second) => first.at - second.at)
 }
 
 function drawLimits (seed: number, milliseconds: number): PlannedFault[] {
@@ -96,6 +102,12 @@
   }))
 }
 
+function drawCrashes (seed: number, milliseconds: number): PlannedFault[] {
+  const random = createRandom(seed ^ crashSeed)
+  if (random() > crashProbability) return []
+  return [{ kind: FaultKind.CrashingRequest, at: faultFreeMilliseconds + Math.max(0, milliseconds - crashMilliseconds) * random() / 2, durationMilliseconds: crashMilliseconds, target: random() }]
+}
+
 function drawSeries (random: Random, at: number): PlannedFault[] {
   const kind = kinds[pickIndex(random, kinds.length)] as FaultKind
   const count = random() < seriesProbability ? 2 + pickIndex(random, maximumSeriesLength - 1) : 1
--- a/bench/soak/src/runSeed.ts
+++ b/bench/soak/src/runSeed.ts
@@ -7,7 +7,9 @@
 import { RunEvent, type RunLogEntry } from '@siskinbeam/stand-in-platform-server/runLogEntry'
 import type { Disturbance } from './disturbance.js'
 import { ViolationKind, findViolations, type Violation } from './findViolations.js'
-import { driveGuests, sendHttpRequest, sendGuestRequest, type ObservedRequest } from './driveGuests.js'
+import { driveGuests, sendHttpRequest, sendGuestRequest } from './driveGuests.js'
+import type { ObservedRequest } from './observedRequest.js'
+import { findCrashViolations } from './findCrashViolations.js'
 import { findLimitViolations } from './findLimitViolations.js'
 import { injectFault } from './injectFault.js'
 import { planFaults, type FaultKind } from './planFaults.js'
@@ -56,20 +58,22 @@
       report(`${(fault.at / 1_000).toFixed(1)} s ${fault.kind} for ${Math.round(fault.durationMilliseconds)} ms`)
       await injectFault(fleet, fault)
     }))
-    const requests = await driveGuests({ hosts: fleet.hosts, seed, guests: options.guests, milliseconds: options.milliseconds, rate: options.rate })
+    const ordinary = await driveGuests({ hosts: fleet.hosts, seed, guests: options.guests, milliseconds: options.milliseconds, rate: options.rate })
     await injected
+    const requests = [...ordinary, ...fleet.crashCopies]
     const recoveryViolations = notReady.concat(await checkRecovery(fleet, seed))
     const exited = fleet.hosts.filter(({ child }) => !child.isRunning()).map(({ name }) => ({ kind: ViolationKind.EndedByItself, request: '', detail: name }))
     const runs = readRuns(directory)
     const disturbancesOf = (name: string): Disturbance[] => fleet.hosts.find(host => host.name === name)?.disturbances ?? []
     const limitViolations = findLimitViolations({ requests, runs, limits: fleet.limits, hosts: fleet.hosts.map(({ name }) => name), disturbancesOf })
+    const crashViolations = findCrashViolations({ copies: fleet.crashCopies, runs, disturbancesOf, storeDisturbances: fleet.storeDisturbances })
     const violations = findViolations({
       requests,
       runs,
       disturbancesOf,
       maximumResponseMilliseconds: options.checksResponseTimes ? maximumResponseMilliseconds : undefined
     })
-    return { seed, requests: requests.length, answered: requests.filter(({ status }) => status === 200).length, faults: plan.length, violations: [...violations, ...limitViolations, ...recoveryViolations, ...exited] }
+    return { seed, requests: requests.length, answered: requests.filter(({ status }) => status === 200).length, faults: plan.length, violations: [...violations, ...limitViolations, ...crashViolations, ...recoveryViolations, ...exited] }
   } finally {
     await fleet.stop()
   }
--- a/bench/soak/src/startFleet.ts
+++ b/bench/soak/src/startFleet.ts
@@ -9,6 +9,7 @@
 import { createConfiguration, createServerEntry } from '@siskinbeam/stand-in-platform-server/storeEntries'
 import { startChild, type RunningChild } from './childProcess.js'
 import type { Disturbance } from './disturbance.js'
+import type { ObservedRequest } from './observedRequest.js'
 import type { LimitPeriod } from './limitPeriod.js'
 import { startFaultyProxy, type FaultyProxy } from './faultyProxy.js'
 
@@ -46,6 +47,10 @@
   servers: SoakServer[]
   /** Limits that servers have named. */
   limits: LimitPeriod[]
+  /** Copies of requests that crash servers. */
+  crashCopies: Array<ObservedRequest & { content: string }>
+  /** Periods of faults of the store; epoch milliseconds. */
+  storeDisturbances: Array<{ from: number, to: number }>
   configurationVersion: number
   startServer: () => Promise<SoakServer>
   /** Marks a server as draining, then removes it from the store and kills it after the drain time. */
@@ -136,6 +141,8 @@
     hosts,
     servers,
     limits: [],
+    crashCopies: [],
+    storeDisturbances: [],
     configurationVersion: 0,
     startServer,
     retireServer,
--- a/bench/soak/test/findLimitViolations.test.ts
+++ b/bench/soak/test/findLimitViolations.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { RunEvent, type RunLogEntry } from '@siskinbeam/stand-in-platform-server/runLogEntry'
 import { DisturbanceKind, type Disturbance } from '../src/disturbance.js'
-import type { ObservedRequest } from '../src/driveGuests.js'
+import type { ObservedRequest } from '../src/observedRequest.js'
 import { findLimitViolations } from '../src/findLimitViolations.js'
 import { ViolationKind } from '../src/findViolations.js'
 
--- a/bench/soak/test/findViolations.test.ts
+++ b/bench/soak/test/findViolations.test.ts
@@ -4,7 +4,7 @@
 import { RunEvent, type RunLogEntry } from '@siskinbeam/stand-in-platform-server/runLogEntry'
 import { ViolationKind, findViolations } from '../src/findViolations.js'
 import { DisturbanceKind, type Disturbance } from '../src/disturbance.js'
-import type { ObservedRequest } from '../src/driveGuests.js'
+import type { ObservedRequest } from '../src/observedRequest.js'
 
 const answered: ObservedRequest = { id: 'r', unsafe: true, host: 'host-0', sentAt: 10_000, endedAt: 10_100, status: 200, isExpectedResponse: true, reused: false, hasResponseBytes: true, limitedServer: undefined }
 const lost: ObservedRequest = { ...answered, status: 0, isExpectedResponse: false, hasResponseBytes: false }
--- a/stand-ins/platform-server/src/runPlatformServer.ts
+++ b/stand-ins/platform-server/src/runPlatformServer.ts
@@ -5,6 +5,7 @@
 import { Command } from 'commander'
 import { Header } from '@siskinbeam/platform-adapter/wire'
 import { signResponse, formatResponseBody } from './responseBody.js'
+import { crashPathMarker } from './crashPathMarker.js'
 import { RunEvent, type RunLogEntry } from './runLogEntry.js'
 
 interface Options {
@@ -26,6 +27,7 @@
 const misdirectedStatus = 421
 const overloadedStatus = 503
 const deadlineStatus = 504
+const crashExitCode = 70
 
 const { id, port, slots, workMilliseconds, runFile, limitFile } = new Command('platform-server')
   .description('Stand-in for a server on the users\' platform.')
@@ -60,6 +62,7 @@
   const unsafe = request.method !== 'GET'
   running += 1
   recordRunEvent(RunEvent.Started, requestId, unsafe)
+  if (request.url?.includes(crashPathMarker) === true) process.exit(crashExitCode)
   const endRun = (): void => {
     clearTimeout(timer)
     running -= 1
