--- a/daemon/platform-host/src/crashes/crashDetection.ts
+++ b/daemon/platform-host/src/crashes/crashDetection.ts
@@ -125,7 +125,7 @@
     applySuspects: (suspects, source) => {
       const valid = Array.isArray(suspects) ? suspects.filter(isSuspectReport) : []
       if (!Array.isArray(suspects) || valid.length < suspects.length) logger.warn('crash report ignored', { source })
-      // A death that another host has seen is also known to be one of these servers, whatever else was in flight on it.
+      // Deaths that other hosts report can explain those of other suspects as well.
       const serverDeaths: CrashReport['serverDeaths'] = valid.flatMap(({ deaths }) => deaths.map(({ server, boot, agoMilliseconds }) => ({ server, boot, agoMilliseconds })))
       return valid.length === 0 ? [] : step({ kind: CrashEventKind.PeerReported, report: { suspects: valid, serverDeaths } }, now())
     },
