Reserve ports of tests across processes

Cause: a process started at port 10000 + 997 x process ID modulo 20000. Process IDs 20 apart give ports 60 apart, and test files draw more than 60, so two files that ran at once drew the same ports. A port is free while the host that listens on it is being restarted, so the host of one test then took the port of the other.

Change: a process holds a block of 100 ports by listening on the first one.

--- a/core/listeners/src/findFreePort.ts
+++ b/core/listeners/src/findFreePort.ts
@@ -1,25 +1,51 @@
-// Finds free ports for processes whose addresses must be configured before they are bound.
-import { createServer } from 'node:net'
+// Finds free ports for processes whose addresses must be configured before they are bound. A process reserves ports in
+// blocks and holds a block by listening on its first port, so that the operating system frees it however the process ends.
+import { createServer, type Server } from 'node:net'
 
 /** Below the ephemeral port range: an outgoing connection could take an ephemeral port before it is bound. */
 const firstPort = 10_000
-const portCount = 20_000
-/** Distance between the first ports of processes with consecutive IDs, so that concurrent processes use different ports. */
-const processPortDistance = 997
+const blockCount = 200
+const portsPerBlock = 100
 
-let portOffset = process.pid * processPortDistance % portCount
+let lastBlock = process.pid % blockCount
+let nextPort = 0
+let remainingPorts = 0
+let queue: Promise<unknown> = Promise.resolve()
 
-/** Resolves with a loopback port on which nothing listens, a different one on each call. */
-export async function findFreePort (): Promise<number> {
-  portOffset = (portOffset + 1) % portCount
-  const port = firstPort + portOffset
-  return await isPortFree(port) ? port : findFreePort()
+/** Resolves with a loopback port on which nothing listens, a different one on each call in any process of the machine. */
+export function findFreePort (): Promise<number> {
+  const port = queue.then(takePort)
+  queue = port.catch(() => {})
+  return port
 }
 
-function isPortFree (port: number): Promise<boolean> {
+async function takePort (): Promise<number> {
+  if (remainingPorts === 0) await reserveBlock(blockCount)
+  const port = nextPort
+  nextPort += 1
+  remainingPorts -= 1
+  const probe = await listen(port)
+  if (probe === undefined) return takePort()
+  await new Promise(resolve => probe.close(resolve))
+  return port
+}
+
+async function reserveBlock (attempts: number): Promise<void> {
+  if (attempts === 0) throw new Error(`all ${blockCount} blocks of ports from ${firstPort} are reserved`)
+  lastBlock = (lastBlock + 1) % blockCount
+  const reservedPort = firstPort + lastBlock * portsPerBlock
+  const reservation = await listen(reservedPort)
+  if (reservation === undefined) return reserveBlock(attempts - 1)
+  reservation.unref()
+  nextPort = reservedPort + 1
+  remainingPorts = portsPerBlock - 1
+}
+
+/** Resolves with a listener on the port, or with undefined if the port is in use. */
+function listen (port: number): Promise<Server | undefined> {
   return new Promise(resolve => {
-    const probe = createServer()
-    probe.once('error', () => resolve(false))
-    probe.listen(port, '127.0.0.1', () => probe.close(() => resolve(true)))
+    const server = createServer(socket => socket.destroy())
+    server.once('error', () => resolve(undefined))
+    server.listen(port, '127.0.0.1', () => resolve(server))
   })
 }
