Tell all hosts that a blamed request has succeeded

What callers saw: a request that was in flight by coincidence on two servers that ended is refused with 208. If a copy that was sent before succeeds, only the host that got the response serves the request again, and its followers if others follow it. All other hosts refuse it until 10 minutes are over.

Cause: deaths were written to the store, cleared deaths were not, although rows carry both.

Change: a response that clears a suspect is shared in the same way as a death.

--- a/daemon/platform-host/src/crashes/crashDetection.ts
+++ b/daemon/platform-host/src/crashes/crashDetection.ts
@@ -16,8 +16,8 @@
   isSuspect: (request: IdentifiedRequest) => boolean
   /** Time until a refused request is forgotten. */
   readRefusalMilliseconds: (request: IdentifiedRequest) => number
-  /** Records that a server has sent a complete response. */
-  recordResponse: (request: IdentifiedRequest) => void
+  /** Records that a server has sent a complete response, and returns the fingerprint to share if this clears the request. */
+  recordResponse: (request: IdentifiedRequest) => string[]
   /** Records a death and returns the fingerprints to share; none if it was known. */
   recordDeath: (death: ServerDeath) => string[]
   /** Applies suspects that another host has observed, and returns the fingerprints that this has changed. Entries that are no suspects are ignored. */
@@ -107,7 +107,7 @@
     },
     recordResponse: request => {
       const isLikelyRepeated = (request.body?.length ?? 0) <= maximumRepeatedBodyBytes
-      if (isLikelyRepeated || findFingerprint(request) !== undefined) step({ kind: CrashEventKind.Finished, fingerprint: fingerprintRequest(request) }, now())
+      return isLikelyRepeated || findFingerprint(request) !== undefined ? step({ kind: CrashEventKind.Finished, fingerprint: fingerprintRequest(request) }, now()) : []
     },
     recordDeath: ({ endpoint: { server }, at, inFlight }) => {
       const requests = inFlight.map(({ request, sentAt }) => ({ fingerprint: fingerprintRequest(request), ageMilliseconds: Math.max(0, at - sentAt) }))
--- a/daemon/platform-host/src/crashes/crashRows.ts
+++ b/daemon/platform-host/src/crashes/crashRows.ts
@@ -10,6 +10,8 @@
 export interface CrashRows {
   /** Writes what this host knows of some suspects. Resolves once it is stored, or the first try has failed. */
   write: (fingerprints: string[]) => Promise<void>
+  /** Writes what this host knows of some suspects, without a result. */
+  share: (fingerprints: string[]) => void
   /** Applies rows that were read from the store. */
   apply: (rows: StoreRow[]) => void
   /** Fingerprints of suspects that could not be written yet. */
@@ -48,6 +50,7 @@
   let timer: NodeJS.Timeout | undefined
   let stopped = false
 
+  const logFailure = (error: unknown): void => logger.warn('crash suspects not stored', { reason: String(error) })
   const formatKey = (fingerprint: string): string => `${fingerprint}/${boot}`
 
   const flush = async (): Promise<void> => {
@@ -75,20 +78,23 @@
     if (stopped) return
     timer ??= setTimeout(() => {
       timer = undefined
-      startFlush().catch((error: unknown) => logger.warn('crash suspects not stored', { reason: String(error) }))
+      startFlush().catch(logFailure)
     }, Math.min(retryMilliseconds.maximum, retryMilliseconds.initial * 2 ** failures))
   }
 
+  const write = async (fingerprints: string[]): Promise<void> => {
+    if (fingerprints.length === 0) return
+    fingerprints.slice(0, maximumUnwritten - unwritten.size).forEach(fingerprint => unwritten.add(fingerprint))
+    if (timer === undefined && pendingWrite === undefined) await startFlush()
+    else {
+      await pendingWrite
+      scheduleFlush()
+    }
+  }
+
   return {
-    write: async fingerprints => {
-      if (fingerprints.length === 0) return
-      fingerprints.slice(0, maximumUnwritten - unwritten.size).forEach(fingerprint => unwritten.add(fingerprint))
-      if (timer === undefined && pendingWrite === undefined) await startFlush()
-      else {
-        await pendingWrite
-        scheduleFlush()
-      }
-    },
+    write,
+    share: fingerprints => { if (fingerprints.length > 0) write(fingerprints).catch(logFailure) },
     apply: rows => {
       rows.forEach(({ key, deleted, value }) => {
         if (deleted) {
--- a/daemon/platform-host/src/dataCentre/peerServer.ts
+++ b/daemon/platform-host/src/dataCentre/peerServer.ts
@@ -143,7 +143,7 @@
 
   /** Stores suspects for a host that can't reach the store. */
   const storeSuspects = ({ crashSuspects, member }: SyncRequest): void => {
-    host.crashRows.write(host.crashes.applySuspects(crashSuspects, member.name)).catch((error: unknown) => host.logger.warn('crash suspects not stored', { reason: String(error) }))
+    host.crashRows.share(host.crashes.applySuspects(crashSuspects, member.name))
   }
 
   const answerIntroduction = ({ member }: IntroduceRequest, response: ServerResponse): void => {
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -92,11 +92,11 @@
 
 /** Records whether the server ended during the send. A response that is streamed lasts until its end. */
 function recordSendEnd (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend, result: ExchangeResult): void {
-  const { serverDeaths, crashes } = exchange.host
+  const { serverDeaths } = exchange.host
   const rest = result.outcome === ExchangeOutcome.Responded ? result.received.rest : undefined
   if (rest !== undefined) {
     rest.stream.once('aborted', () => { serverDeaths.recordBreak(endpoint, send).catch(() => {}) })
-    rest.stream.once('end', () => crashes.recordResponse(exchange))
+    rest.stream.once('end', () => recordCompletion(exchange))
     rest.stream.once('close', () => serverDeaths.recordEnd(endpoint, send))
     return
   }
@@ -106,7 +106,13 @@
   }
   if (result.outcome === ExchangeOutcome.TimedOut) serverDeaths.recordTimeout(endpoint, send)
   else serverDeaths.recordEnd(endpoint, send)
-  if (result.outcome === ExchangeOutcome.Responded && !readResponseMetadata(result.received.status, result.received.headers).notExecuted) crashes.recordResponse(exchange)
+  if (result.outcome === ExchangeOutcome.Responded && !readResponseMetadata(result.received.status, result.received.headers).notExecuted) recordCompletion(exchange)
+}
+
+/** Records a complete response. The hosts that refuse the request have to learn that it did not end its server. */
+function recordCompletion (exchange: GuestExchange): void {
+  const { crashes, crashRows } = exchange.host
+  crashRows.share(crashes.recordResponse(exchange))
 }
 
 /** Records what the response says of the server. */
--- a/daemon/platform-host/test/crashingRequest.test.ts
+++ b/daemon/platform-host/test/crashingRequest.test.ts
@@ -203,3 +203,38 @@
   })
   assert.ok(silenced.length <= allowedCrashes + allowedRetries, `${silenced.length} servers fell silent`)
 }, oneDataCentre))
+
+test('a request that a server completes after it was blamed is served again by the hosts of all data centres', () => withTestBed(async ({ platform, servers }) => {
+  const path = '/bookings/coincidence'
+  const crashingScripts = servers.map(({ script }) => script)
+  let slow: ScriptedServer | undefined
+  const respondSlowly = { finish: () => {} }
+  servers.forEach((server, index) => {
+    server.script = (request, response) => {
+      if (slow === undefined) {
+        slow = server
+        respondSlowly.finish = () => respondNormally(request, response)
+        return
+      }
+      if (slow === server) {
+        response.writeHead(503, { 'x-not-executed': '1', 'content-length': 0 }).end()
+        return
+      }
+      crashingScripts[index]?.({ ...request, url: `${request.url}/crash` }, response)
+    }
+  })
+  const completed = sendRequest(addressOf(platform, 1), path, { method: 'POST', id: 'slow', body: 'same' })
+  await waitUntil('the first copy has reached a server', () => slow !== undefined)
+  let index = 0
+  await waitUntil('the request is refused by all hosts', async () => {
+    index += 1
+    await sendRequest(addressOf(platform, index), path, { method: 'POST', id: `c-${index}`, body: 'same' })
+    return platform.hosts.every(hasBlamed)
+  })
+  respondSlowly.finish()
+  assert.equal((await completed).status, 200)
+  servers.forEach(server => { server.script = respondNormally })
+  await waitUntil('no host refuses the request', () => !platform.hosts.some(hasBlamed))
+  const responses = await Promise.all(platform.settings.map(({ guestAddress }, host) => sendRequest(guestAddress, path, { method: 'POST', id: `later-${host}`, body: 'same' })))
+  assert.deepEqual(responses.map(({ status }) => status), platform.settings.map(() => 200))
+}))
