Do not clear a suspected request by failures of servers

What callers saw: with servers that answer every second copy of a request with 500 and end under the others, 14 servers ended in 8 s, 11 after the third, 7 of them later than 3 s after it (at most 3 are allowed).

Cause: any complete response of a server cleared the request. A server in trouble may fail a request before it reaches the part that ends other servers, so a failure says nothing.

Change: only a signed response below 500 clears. An innocent request that the servers always fail is refused if two of them end under it; its callers get 503 in place of the 500.

--- a/daemon/platform-host/src/crashes/crashDetection.ts
+++ b/daemon/platform-host/src/crashes/crashDetection.ts
@@ -16,7 +16,7 @@
   isSuspect: (request: IdentifiedRequest) => boolean
   /** Time until a refused request is forgotten. */
   readRefusalMilliseconds: (request: IdentifiedRequest) => number
-  /** Records that a server has sent a complete response, and returns the fingerprint to share if this clears the request. */
+  /** Records that a server has completed the request, and returns the fingerprint to share if this clears it. */
   recordResponse: (request: IdentifiedRequest) => string[]
   /** Records a death and returns the fingerprints to share; none if it was known. */
   recordDeath: (death: ServerDeath) => string[]
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -41,6 +41,7 @@
 /** Node.js parses any status of three digits, but refuses to write one outside of the range of HTTP. */
 const minimumFinalStatus = 200
 const maximumStatus = 599
+const minimumServerErrorStatus = 500
 
 const outcomesWithoutResponse = {
   [ExchangeOutcome.NotSent]: SendOutcome.NotSent,
@@ -93,10 +94,11 @@
 /** Records whether the server ended during the send. A response that is streamed lasts until its end. */
 function recordSendEnd (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend, result: ExchangeResult): void {
   const { serverDeaths } = exchange.host
-  const rest = result.outcome === ExchangeOutcome.Responded ? result.received.rest : undefined
-  if (rest !== undefined) {
+  const received = result.outcome === ExchangeOutcome.Responded ? result.received : undefined
+  const { rest } = received ?? {}
+  if (received !== undefined && rest !== undefined) {
     rest.stream.once('aborted', () => { serverDeaths.recordBreak(endpoint, send).catch(() => {}) })
-    rest.stream.once('end', () => recordCompletion(exchange))
+    rest.stream.once('end', () => recordCompletion(exchange, received))
     rest.stream.once('close', () => serverDeaths.recordEnd(endpoint, send))
     return
   }
@@ -106,11 +108,14 @@
   }
   if (result.outcome === ExchangeOutcome.TimedOut) serverDeaths.recordTimeout(endpoint, send)
   else serverDeaths.recordEnd(endpoint, send)
-  if (result.outcome === ExchangeOutcome.Responded && !readResponseMetadata(result.received.status, result.received.headers).notExecuted) recordCompletion(exchange)
+  if (received !== undefined) recordCompletion(exchange, received)
 }
 
-/** Records a complete response. The hosts that refuse the request have to learn that it did not end its server. */
-function recordCompletion (exchange: GuestExchange): void {
+/** Records a complete response that shows that the request does not end its server, and tells the hosts that refuse the request. */
+function recordCompletion (exchange: GuestExchange, { status, headers }: ReceivedResponse): void {
+  const { signed, notExecuted } = readResponseMetadata(status, headers)
+  // A server in trouble may fail a request before it reaches the part that ends other servers.
+  if (!signed || notExecuted || status >= minimumServerErrorStatus) return
   const { crashes, crashRows } = exchange.host
   crashRows.share(crashes.recordResponse(exchange))
 }
@@ -129,7 +134,7 @@
   if (result.outcome !== ExchangeOutcome.Responded) return { outcome: outcomesWithoutResponse[result.outcome], reason: result.reason }
   const { received } = result
   const rejection = findRejection(received)
-  if (rejection === undefined) return { outcome: received.status >= 500 ? SendOutcome.Failed : SendOutcome.Responded, received }
+  if (rejection === undefined) return { outcome: received.status >= minimumServerErrorStatus ? SendOutcome.Failed : SendOutcome.Responded, received }
   received.rest?.discard()
   return rejection
 }
--- a/daemon/platform-host/test/crashingRequest.test.ts
+++ b/daemon/platform-host/test/crashingRequest.test.ts
@@ -238,3 +238,17 @@
   const responses = await Promise.all(platform.settings.map(({ guestAddress }, host) => sendRequest(guestAddress, path, { method: 'POST', id: `later-${host}`, body: 'same' })))
   assert.deepEqual(responses.map(({ status }) => status), platform.settings.map(() => 200))
 }))
+
+test('failures of servers that do not crash do not clear a request that crashes others', context => withTestBed(async ({ platform, servers, crashes }) => {
+  const crashingScripts = servers.map(({ script }) => script)
+  let copies = 0
+  servers.forEach((server, index) => {
+    server.script = (request, response) => {
+      copies += 1
+      if (copies % 2 === 1) crashingScripts[index]?.(request, response)
+      else response.writeHead(500, { 'x-request-id': String(request.headers['x-request-id']), 'x-response-signature': 'signed', 'content-length': 0 }).end()
+    }
+  })
+  await repeatRequest(platform, crashPath, 'POST', 8_000)
+  assertRule(context, crashes)
+}))
