Count sends that were cancelled shortly before their server ended

What callers saw: a request whose guest leaves before its server ends was passed on without end. Own test, a GET every 0.3 s, the guest leaves after 40 ms, the server ends after 60 ms: 30 servers ended in 9 s, 27 after the third, 18 later than 3 s after it (at most 3 are allowed). With servers that stay away while their entries remain and a GET every 0.7 s: 12 of 12 servers, 5 too late.

Cause: a send that the host cancels closes its connection, so the host saw no break, and the send no longer counted as in flight.

Change: cancelled sends are kept for a while. They count if the server's entry is replaced or expires, if another send to it breaks within a second, or if the server refuses a new connection within a second and turns out to have ended.

--- a/daemon/platform-host/src/requestPath/chooseProbedServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseProbedServer.ts
@@ -39,7 +39,7 @@
       .map(endpoint => ({ endpoint, sameDataCentre: endpoint.server.dataCentre === host.settings.dataCentre, preferred: endpoint.preferred, avoided: endpoint.backoffUntil > now }))
     const endpoints = selectServersToProbe({ candidates, round, random: host.random }).map(({ endpoint }) => endpoint)
     endpoints.forEach(endpoint => probed.add(endpoint))
-    const results = await probeServers({ endpoints, healthPath, now: host.now, limitedServers: host.limitedServers, noticedServers: host.noticedServers, onProbed: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
+    const results = await probeServers({ endpoints, healthPath, now: host.now, limitedServers: host.limitedServers, noticedServers: host.noticedServers, serverDeaths: host.serverDeaths, onProbed: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
     const responsive = [...earlier, ...results].filter(({ endpoint }) => endpoint.acceptsRequests() && host.noticedServers.isAvailable(endpoint.server))
     const best = rankProbed(responsive, exchange, serviceTimeMilliseconds)
     if (isGoodEnough(best, serviceTimeMilliseconds) || endpoints.length === 0 || round + 1 >= options.rounds || exchange.finished) return best
--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -91,6 +91,17 @@
   return sent
 }
 
+const sendEndRecorders: Record<ExchangeOutcome, (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend) => void> = {
+  [ExchangeOutcome.Responded]: ({ host }, endpoint, send) => host.serverDeaths.recordEnd(endpoint, send),
+  [ExchangeOutcome.NotSent]: ({ host }, endpoint, send) => {
+    host.serverDeaths.recordEnd(endpoint, send)
+    host.serverDeaths.recordRefusal(endpoint)
+  },
+  [ExchangeOutcome.Broken]: (exchange, endpoint, send) => { exchange.deathCheck = exchange.host.serverDeaths.recordBreak(endpoint, send) },
+  [ExchangeOutcome.TimedOut]: ({ host }, endpoint, send) => host.serverDeaths.recordTimeout(endpoint, send),
+  [ExchangeOutcome.Cancelled]: ({ host }, endpoint, send) => host.serverDeaths.recordCancel(endpoint, send)
+}
+
 /** Records whether the server ended during the send. A response that is streamed lasts until its end. */
 function recordSendEnd (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend, result: ExchangeResult): void {
   const { serverDeaths } = exchange.host
@@ -102,12 +113,7 @@
     rest.stream.once('close', () => serverDeaths.recordEnd(endpoint, send))
     return
   }
-  if (result.outcome === ExchangeOutcome.Broken) {
-    exchange.deathCheck = serverDeaths.recordBreak(endpoint, send)
-    return
-  }
-  if (result.outcome === ExchangeOutcome.TimedOut) serverDeaths.recordTimeout(endpoint, send)
-  else serverDeaths.recordEnd(endpoint, send)
+  sendEndRecorders[result.outcome](exchange, endpoint, send)
   if (received !== undefined) recordCompletion(exchange, received)
 }
 
--- a/daemon/platform-host/src/servers/probeServers.ts
+++ b/daemon/platform-host/src/servers/probeServers.ts
@@ -7,6 +7,7 @@
 import { ContactPurpose, type LimitedServers } from './limitedServers.js'
 import { ExchangeOutcome, type ExchangeResult, type ServerConnection } from './serverConnection.js'
 import type { NoticedServers } from './noticedServers.js'
+import type { ServerDeaths } from './serverDeaths.js'
 import { recordReachable, recordUnreachable, type ServerEndpoint } from './serverEndpoint.js'
 
 /** A server that responded, with the connection to use. */
@@ -29,11 +30,14 @@
   now: () => number
   limitedServers: LimitedServers
   noticedServers: NoticedServers
+  serverDeaths: ServerDeaths
   onProbed: (outcome: ExchangeOutcome) => void
 }
 
 /** A probe that takes longer counts as a failure of the server. */
 const probeTimeoutMilliseconds = 250
+/** Outcomes of a probe on a new connection of a server that has ended. */
+const refusalOutcomes = new Set([ExchangeOutcome.NotSent, ExchangeOutcome.Broken])
 /** How long to wait for further responses once a server with a free slot has responded. */
 const additionalWaitMilliseconds = 5
 /** How long to wait for more than one response; after that, the first one decides. */
@@ -106,6 +110,7 @@
 function readProbeResult (result: ExchangeResult, connection: ServerConnection, endpoint: ServerEndpoint, options: ProbeServersOptions): ProbedServer | undefined {
   if (result.outcome !== ExchangeOutcome.Responded) {
     recordUnreachable(endpoint, options.now())
+    if (refusalOutcomes.has(result.outcome)) options.serverDeaths.recordRefusal(endpoint)
     return undefined
   }
   const { status, headers } = result.received
--- a/daemon/platform-host/src/servers/serverDeaths.ts
+++ b/daemon/platform-host/src/servers/serverDeaths.ts
@@ -1,7 +1,7 @@
 // Detects that a server has ended while requests were in flight on it. After a send whose connection broke, the server counts as
 // ended if all its earlier connections are closed and it accepts no new ones. A server that resets new connections since it is full
 // keeps the earlier ones, and one that leaves as planned announces that. A server whose connections fall silent counts as ended when
-// its entry is replaced or expires.
+// its entry is replaced or expires. A send that is cancelled closes its connection, so its server is checked when it next refuses one.
 import { connect } from 'node:net'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import type { IdentifiedRequest } from '../crashes/fingerprintRequest.js'
@@ -24,10 +24,14 @@
 
 export interface ServerDeaths {
   recordStart: (endpoint: ServerEndpoint, send: OpenSend) => void
-  /** Records the end of a send that did not break. */
+  /** Records the end of a send that the server has completed or not begun. */
   recordEnd: (endpoint: ServerEndpoint, send: OpenSend) => void
   /** Records the end of a send that got no response in time. */
   recordTimeout: (endpoint: ServerEndpoint, send: OpenSend) => void
+  /** Records the end of a send that this host has cancelled. */
+  recordCancel: (endpoint: ServerEndpoint, send: OpenSend) => void
+  /** Checks a server that refused a connection, if sends to it have been cancelled shortly before. */
+  recordRefusal: (endpoint: ServerEndpoint) => void
   /** Records that the entry of a server was replaced or removed without an announcement. */
   recordLoss: (endpoint: ServerEndpoint) => void
   /** Checks the server of a send that broke. Resolves once the check and the handling of a death are complete. */
@@ -50,16 +54,18 @@
   broken: EndedSend[]
   /** Sends that got no response although the server accepted connections, or nothing was known of it. */
   unanswered: EndedSend[]
+  cancelled: EndedSend[]
   pendingCheck: Promise<void> | undefined
 }
 
 /** Connections of a process that ends are closed one after the other, and its listening socket last. */
 const closeDelayMilliseconds = 5
-/** Sends that broke within this time before a check were in flight when the server ended. */
+/** Sends that broke or were cancelled within this time before a check were in flight when the server ended. */
 const breakWindowMilliseconds = 1_000
 /** An entry expires after three heartbeats of a few seconds each. */
 const lossWindowMilliseconds = 10_000
-const maximumUnanswered = 16
+/** Of the sends to a server that got no response, and of those that were cancelled. */
+const maximumEndedSends = 16
 /** A connection that is reset right after it was accepted leads to no server. */
 const acceptedMilliseconds = 25
 /** Without an answer for this time, the server may be alive behind a broken path. */
@@ -69,26 +75,29 @@
 export function createServerDeaths ({ now, onDeath }: CreateServerDeathsOptions): ServerDeaths {
   const sendsOf = new WeakMap<ServerEndpoint, ServerSends>()
   const findSends = (endpoint: ServerEndpoint): ServerSends => {
-    const sends = sendsOf.get(endpoint) ?? { open: new Set(), broken: [], unanswered: [], pendingCheck: undefined }
+    const sends = sendsOf.get(endpoint) ?? { open: new Set(), broken: [], unanswered: [], cancelled: [], pendingCheck: undefined }
     sendsOf.set(endpoint, sends)
     return sends
   }
-  const listRecentBreaks = ({ broken }: ServerSends): EndedSend[] => broken.filter(({ at }) => now() - at < breakWindowMilliseconds)
-
-  const addUnanswered = (sends: ServerSends, ended: EndedSend): void => { sends.unanswered = [...sends.unanswered, ended].slice(-maximumUnanswered) }
+  const listRecent = (ended: EndedSend[]): EndedSend[] => ended.filter(({ at }) => now() - at < breakWindowMilliseconds)
+  const append = (ended: EndedSend[], send: OpenSend): EndedSend[] => [...ended, { send, at: now() }].slice(-maximumEndedSends)
 
   const check = async (endpoint: ServerEndpoint, sends: ServerSends, brokenAt: number): Promise<void> => {
     await new Promise(resolve => setTimeout(resolve, closeDelayMilliseconds))
     if (!endpoint.acceptsRequests()) return
     if (endpoint.hasConnectionSince(brokenAt) || await acceptsConnections(endpoint.server.address)) {
       // The server may have been restarted faster than it could be checked.
-      sends.broken.splice(0).forEach(ended => addUnanswered(sends, ended))
+      sends.unanswered = [...sends.unanswered, ...sends.broken.splice(0)].slice(-maximumEndedSends)
       return
     }
-    const breaks = listRecentBreaks(sends)
-    sends.broken = []
+    const breaks = listRecent(sends.broken.splice(0))
+    const cancelled = listRecent(sends.cancelled.splice(0))
     const at = Math.min(brokenAt, ...breaks.map(each => each.at))
-    await onDeath({ endpoint, at, inFlight: [...new Set([...breaks.map(({ send }) => send), ...sends.open])] })
+    await onDeath({ endpoint, at, inFlight: [...new Set([...breaks, ...cancelled].map(({ send }) => send).concat(...sends.open))] })
+  }
+  const startCheck = (endpoint: ServerEndpoint, sends: ServerSends): Promise<void> => {
+    sends.pendingCheck ??= check(endpoint, sends, now()).finally(() => { sends.pendingCheck = undefined })
+    return sends.pendingCheck
   }
 
   return {
@@ -97,19 +106,28 @@
     recordTimeout: (endpoint, send) => {
       const sends = findSends(endpoint)
       sends.open.delete(send)
-      addUnanswered(sends, { send, at: now() })
+      sends.unanswered = append(sends.unanswered, send)
+    },
+    recordCancel: (endpoint, send) => {
+      const sends = findSends(endpoint)
+      sends.open.delete(send)
+      sends.cancelled = append(sends.cancelled, send)
+    },
+    recordRefusal: endpoint => {
+      const sends = findSends(endpoint)
+      if (listRecent(sends.cancelled).length > 0) startCheck(endpoint, sends).catch(() => {})
     },
     recordLoss: endpoint => {
-      const unanswered = findSends(endpoint).unanswered.splice(0).filter(({ at }) => now() - at < lossWindowMilliseconds)
+      const { unanswered: timedOut, cancelled } = findSends(endpoint)
+      const unanswered = [...timedOut.splice(0), ...cancelled.splice(0)].filter(({ at }) => now() - at < lossWindowMilliseconds)
       if (unanswered.length === 0) return
       onDeath({ endpoint, at: Math.min(...unanswered.map(({ at }) => at)), inFlight: unanswered.map(({ send }) => send) }).catch(() => {})
     },
     recordBreak: (endpoint, send) => {
       const sends = findSends(endpoint)
       sends.open.delete(send)
-      sends.broken = [...listRecentBreaks(sends), { send, at: now() }]
-      sends.pendingCheck ??= check(endpoint, sends, now()).finally(() => { sends.pendingCheck = undefined })
-      return sends.pendingCheck
+      sends.broken = [...listRecent(sends.broken), { send, at: now() }]
+      return startCheck(endpoint, sends)
     }
   }
 }
--- a/daemon/platform-host/test/crashingRequest.test.ts
+++ b/daemon/platform-host/test/crashingRequest.test.ts
@@ -252,3 +252,33 @@
   await repeatRequest(platform, crashPath, 'POST', 8_000)
   assertRule(context, crashes)
 }))
+
+// Sends that were cancelled before their server ended were no evidence.
+;[
+  { title: 'come back restarted', restarts: true, intervalMilliseconds: repeatMilliseconds },
+  { title: 'stay away while their entries remain', restarts: false, intervalMilliseconds: 700 }
+].forEach(({ title, restarts, intervalMilliseconds }) => {
+  test(`a request that crashes servers after its guest has left is refused, if the servers ${title}`, context => withTestBed(async ({ platform, servers, crashes }) => {
+    const crashingScripts = servers.map(({ script }) => script)
+    const end = (server: ScriptedServer): void => {
+      crashes.push(performance.now())
+      server.resetsConnections = true
+      server.sockets.forEach(resetSocket)
+    }
+    servers.forEach((server, index) => {
+      server.script = (request, response) => {
+        if (!request.url.includes('crash')) crashingScripts[index]?.(request, response)
+        else if (restarts) setTimeout(() => crashingScripts[index]?.(request, response), 60)
+        else setTimeout(end, 60, server)
+      }
+    })
+    const ordinary = sendOrdinaryRequests(platform)
+    const endsAt = performance.now() + 9_000
+    for (let index = 0; performance.now() < endsAt; index += 1) {
+      sendRequest(addressOf(platform, index), '/reads/crash', { id: `left-${index}`, disconnectAfterMilliseconds: 40 }).catch(() => {})
+      await pause(intervalMilliseconds)
+    }
+    await ordinary.stop(Infinity)
+    assertRule(context, crashes)
+  }))
+})
