Tell the other hosts of a data centre which servers leave

Cause: `Server-Leaving` was kept by the host that read it, so each other host sent requests to the server until it had an answer of its own or the entry changed in the store, which takes long if the store is down.

Change: the calls between hosts carry the starts of servers that leave, from a follower to its source and from the source to its followers, only what the other lacks. The new test (three hosts, the last one is told) failed with contacts from the other hosts half a second later, now there are none. Pauses stay with the host that was told, which a second test guards.

--- a/daemon/platform-host/src/dataCentre/peerClient.ts
+++ b/daemon/platform-host/src/dataCentre/peerClient.ts
@@ -45,7 +45,7 @@
 /** Creates the client. */
 export function createPeerClient ({ host, sourceSelection, own, view, members }: CreatePeerClientOptions): PeerClient {
   const senders = new Map<string, HttpSender>()
-  let sourceState = { boot: '', registryRevision: 0, membersRevision: 0, limitsRevision: 0, crashesRevision: 0 }
+  let sourceState = { boot: '', registryRevision: 0, membersRevision: 0, limitsRevision: 0, leavingRevision: 0, crashesRevision: 0 }
 
   const permitSenders = new Map<string, HttpSender>()
 
@@ -71,7 +71,7 @@
     return outcome.replied && outcome.status === 200 ? JSON.parse(outcome.body.toString('utf8')) as Reply : undefined
   }
 
-  const applyReply = (reply: SyncReply, from: string, follows: boolean): void => {
+  const applyReply = (reply: SyncReply, from: string, follows: boolean, leavingServers: string[]): void => {
     const { configuration, servers, members: membersUpdate } = reply.news === undefined ? {} : decodeViewUpdate(reply.news)
     if (configuration !== undefined) view.applyConfiguration(configuration, from)
     if (servers !== undefined) view.applyServers(servers, from)
@@ -81,15 +81,17 @@
     if (!follows) return
     host.failureReports.applyFailing(reply.failingServers ?? [])
     host.limitedServers.applyReports(reply.limits ?? [], from)
+    host.noticedServers.leavingReports.confirm(reply.boot, [...leavingServers, ...host.noticedServers.applyLeaving(reply.leavingServers, from)])
     if (membersUpdate === undefined) members.renewAll()
     else members.applyUpdate(membersUpdate)
-    sourceState = { boot: reply.boot, registryRevision: reply.registryRevision, membersRevision: reply.membersRevision, limitsRevision: reply.limitsRevision, crashesRevision: reply.crashesRevision }
+    sourceState = { boot: reply.boot, registryRevision: reply.registryRevision, membersRevision: reply.membersRevision, limitsRevision: reply.limitsRevision, leavingRevision: reply.leavingRevision, crashesRevision: reply.crashesRevision }
   }
 
   return {
     sync: async ({ address, name, waitMilliseconds, follows }) => {
       const sendReport = follows ? host.failureReports.takeReport() : []
       const limits = follows ? host.limitedServers.takeReports() : []
+      const leavingServers = follows ? host.noticedServers.leavingReports.listUntold(sourceState.boot) : []
       const crashSuspects = follows ? host.crashes.describe(host.crashRows.listUnwritten().slice(0, maximumReportedSuspects)) : []
       const reply = await send<SyncReply>(address, syncPath, {
         member: own(),
@@ -101,13 +103,15 @@
         membersDigest: members.digest(),
         limitsRevision: sourceState.limitsRevision,
         ...(limits.length === 0 ? {} : { limits }),
+        leavingRevision: sourceState.leavingRevision,
+        ...(leavingServers.length === 0 ? {} : { leavingServers }),
         crashesRevision: sourceState.crashesRevision,
         ...(crashSuspects.length === 0 ? {} : { crashSuspects }),
         waitMilliseconds,
         follows,
         ...(sendReport.length === 0 ? {} : { sendReport })
       }, waitMilliseconds)
-      if (reply !== undefined) applyReply(reply, name, follows)
+      if (reply !== undefined) applyReply(reply, name, follows, leavingServers)
       return reply
     },
     introduce: async address => {
--- a/daemon/platform-host/src/dataCentre/peerMessages.ts
+++ b/daemon/platform-host/src/dataCentre/peerMessages.ts
@@ -42,6 +42,10 @@
   limits?: ReportedLimit[]
   /** Revision of the called host's limits that the caller has. */
   limitsRevision: number
+  /** Starts of servers that leave, as far as the called host may not know; absent if there are none. */
+  leavingServers?: string[]
+  /** Revision of the called host's leaving servers that the caller has. */
+  leavingRevision: number
   /** Crash suspects that the caller could not write to the store; absent if there are none. */
   crashSuspects?: SuspectReport[]
   /** Revision of the called host's crash suspects that the caller has. */
@@ -61,6 +65,9 @@
   limitsRevision: number
   /** What is known of all limits, if that is new to the caller. */
   limits?: ReportedLimit[]
+  leavingRevision: number
+  /** Starts of servers that leave and are new to the caller; absent if there are none. */
+  leavingServers?: string[]
   crashesRevision: number
   /** Crash suspects that are new to the caller; absent if there are none. */
   crashSuspects?: SuspectReport[]
--- a/daemon/platform-host/src/dataCentre/peerServer.ts
+++ b/daemon/platform-host/src/dataCentre/peerServer.ts
@@ -40,6 +40,7 @@
   registryRevision: number
   membersRevision: number
   limitsRevision: number
+  leavingRevision: number
   crashesRevision: number
 }
 
@@ -71,6 +72,7 @@
       // If the digests differ at the same revision, the caller did not apply the list as it was sent and gets it again.
       membersRevision: isSameList ? members.revision() : membersRevision === members.revision() ? 0 : membersRevision,
       limitsRevision: isKnown ? request.limitsRevision : 0,
+      leavingRevision: isKnown ? request.leavingRevision : 0,
       crashesRevision: isKnown ? request.crashesRevision : 0
     }
   }
@@ -91,9 +93,10 @@
   const hasNewServers = (caller: CallerState): boolean => view.registry.version > 0 && view.registry.revision !== caller.registryRevision
   const hasNewMembers = (caller: CallerState): boolean => members.revision() !== caller.membersRevision
   const hasNewLimits = (caller: CallerState): boolean => host.limitedServers.revision() !== caller.limitsRevision
+  const hasNewLeaving = (caller: CallerState): boolean => host.noticedServers.leavingReports.revision() !== caller.leavingRevision
   const hasNewCrashes = (caller: CallerState): boolean => host.crashes.revision() !== caller.crashesRevision
   const hasNews = (caller: CallerState): boolean => hasNewConfiguration(caller) || hasNewServers(caller) || hasNewMembers(caller)
-  const hasChanges = (caller: CallerState): boolean => hasNews(caller) || hasNewLimits(caller) || hasNewCrashes(caller)
+  const hasChanges = (caller: CallerState): boolean => hasNews(caller) || hasNewLimits(caller) || hasNewLeaving(caller) || hasNewCrashes(caller)
 
   const createReply = (caller: CallerState): SyncReply => {
     const failingSince = options.failingSince()
@@ -105,9 +108,11 @@
       registryRevision: view.registry.revision,
       membersRevision: members.revision(),
       limitsRevision: host.limitedServers.revision(),
+      leavingRevision: host.noticedServers.leavingReports.revision(),
       crashesRevision: host.crashes.revision(),
       ...(hasNewCrashes(caller) ? { crashSuspects: host.crashes.describeSince(caller.crashesRevision) } : {}),
       ...(hasNewLimits(caller) ? { limits: host.limitedServers.describeAll() } : {}),
+      ...(hasNewLeaving(caller) ? { leavingServers: host.noticedServers.leavingReports.listSince(caller.leavingRevision) } : {}),
       ...(failingServers.length === 0 ? {} : { failingServers }),
       ...(hasNews(caller) ? { news: encodeUpdate(caller) } : {})
     }
@@ -118,6 +123,7 @@
     options.onCall(request.member, request.follows)
     host.failureReports.addReport(request.member.name, (request.sendReport ?? []).filter(isSendReport))
     host.limitedServers.applyReports((request.limits ?? []).filter(isReportedLimit), request.member.name)
+    host.noticedServers.applyLeaving(request.leavingServers, request.member.name)
     if (request.crashSuspects !== undefined) storeSuspects(request)
     const caller = readCallerState(request)
     const reply = (): void => {
@@ -137,7 +143,7 @@
     })
     pendingCalls.add(replyIfChanged)
     // Changes of the member list are batched.
-    if (hasNewConfiguration(caller) || hasNewServers(caller) || hasNewLimits(caller) || hasNewCrashes(caller) || caller.membersRevision === 0) reply()
+    if (hasNewConfiguration(caller) || hasNewServers(caller) || hasNewLimits(caller) || hasNewLeaving(caller) || hasNewCrashes(caller) || caller.membersRevision === 0) reply()
     else scheduleAnswers()
   }
 
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -118,7 +118,7 @@
     routes: () => view.routes(),
     endpoints,
     limitedServers: createLimitedServers({ logger, count: metrics.count, now, findServer: id => view.registry.servers.get(id)?.server, onChange: () => peerServer.answerChanged() }),
-    noticedServers: createNoticedServers({ logger, count: metrics.count, now, random }),
+    noticedServers: createNoticedServers({ logger, count: metrics.count, now, random, findServer: id => view.registry.servers.get(id)?.server, onLeaving: () => peerServer.answerChanged() }),
     crashes,
     crashRows,
     serverDeaths: createServerDeaths({ now, onDeath: death => crashRows.write(crashes.recordDeath(death)) }),
--- a/daemon/platform-host/test/serverNotices.test.ts
+++ b/daemon/platform-host/test/serverNotices.test.ts
@@ -2,15 +2,16 @@
 // from this host for a time.
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createLeavingReports } from '../src/servers/leavingReports.js'
 import { describeEntry, pause, respondNormally, sendRequest, startPlatform, startServer, waitUntil, type GuestResponse, type ScriptedServer, type ServerScript, type TestPlatform } from './support/startPlatform.js'
 
 const requestIntervalMilliseconds = 10
 /** Time for requests that were on their way when the server answered. */
 const settlingMilliseconds = 100
 
-async function withServers (count: number, run: (platform: TestPlatform, servers: ScriptedServer[]) => Promise<void>): Promise<void> {
+async function withServers (count: number, run: (platform: TestPlatform, servers: ScriptedServer[]) => Promise<void>, hosts = 1): Promise<void> {
   const servers = await Promise.all(Array.from({ length: count }, () => startServer()))
-  const platform = await startPlatform(servers)
+  const platform = await startPlatform(servers, hosts)
   try {
     await run(platform, servers)
   } finally {
@@ -18,11 +19,11 @@
   }
 }
 
-async function sendRequests (platform: TestPlatform, milliseconds: number, path = '/reads/7', method = 'GET'): Promise<GuestResponse[]> {
+async function sendRequests (platform: TestPlatform, milliseconds: number, path = '/reads/7', method = 'GET', host = 0): Promise<GuestResponse[]> {
   const responses: Array<Promise<GuestResponse>> = []
   const end = performance.now() + milliseconds
   while (performance.now() < end) {
-    responses.push(sendRequest(platform.settings[0]?.guestAddress ?? '', path, { method, id: `r-${responses.length}` }))
+    responses.push(sendRequest(platform.settings[host]?.guestAddress ?? '', path, { method, id: `r-${responses.length}` }))
     await pause(requestIntervalMilliseconds)
   }
   return Promise.all(responses)
@@ -107,3 +108,53 @@
   assert.ok(servers.every((server, index) => server.contacts.length > (contacts[index] ?? 0)))
   assert.equal(platform.logs.filter(line => line.includes('event="server notice ignored"') && line.includes('code=407')).length, 2)
 }))
+
+// The other hosts went on to use the server until each had an answer of its own.
+test('the hosts of a data centre tell each other within half a second that a server leaves', () => withServers(2, async (platform, [leaving]) => {
+  assert.ok(leaving !== undefined)
+  leaving.headers = { 'server-leaving': '1' }
+  // The last host is a follower, so that its word has to take both ways.
+  await waitUntil('the server has answered a host', async () => {
+    await sendRequests(platform, 20, '/reads/7', 'GET', 2)
+    return leaving.contacts.length > 0
+  })
+  await pause(500)
+  const since = performance.now()
+  const responses = (await Promise.all([0, 1, 2].map(host => sendRequests(platform, 500, '/reads/7', 'GET', host)))).flat()
+  assert.ok(responses.every(({ status }) => status === 200))
+  assert.equal(leaving.contacts.filter(at => at > since).length, 0)
+  const host = await platform.startHost()
+  await waitUntil('a host that starts later knows it', () => host.dump().includes('"isLeaving":true'))
+}, 3))
+
+test('a pause binds only the host that was told', () => withServers(2, async (platform, [pausing]) => {
+  assert.ok(pausing !== undefined)
+  pausing.script = turnAway('5')
+  await waitUntil('the server has turned a host away', async () => {
+    await sendRequests(platform, 20)
+    return pausing.received.length > 0
+  })
+  await pause(500)
+  const before = pausing.received.length
+  pausing.script = respondNormally
+  await waitUntil('another host uses the server', async () => {
+    await sendRequests(platform, 50, '/reads/7', 'GET', 1)
+    return pausing.received.length > before
+  })
+}, 2))
+
+test('what a host says of servers that leave reaches a new source, and ends when the entry of the server is long gone', () => {
+  let now = 0
+  const registered = new Set(['a@1', 'b@1'])
+  const reports = createLeavingReports({ isRegistered: server => registered.has(server), now: () => now })
+  reports.add('a@1')
+  reports.add('b@1')
+  assert.deepEqual(reports.listUntold('first'), ['a@1', 'b@1'])
+  reports.confirm('first', ['a@1'])
+  assert.deepEqual([reports.listUntold('first'), reports.listUntold('second')], [['b@1'], ['a@1', 'b@1']])
+  assert.deepEqual([reports.listSince(0), reports.listSince(1), reports.listSince(2)], [['a@1', 'b@1'], ['b@1'], []])
+  registered.delete('a@1')
+  now = 120_000
+  reports.add('c@1')
+  assert.deepEqual([reports.listSince(0), reports.revision()], [['b@1', 'c@1'], 3])
+})
