Hold calls of hosts that run an earlier program

Cause: the reports of crash suspects and of servers that leave have revisions of their own in the calls between hosts. A host of the landed program names none, so its source took it for one that lacks them and answered each call at once: during an update of the hosts, a follower of the old program would call every 25 ms instead of every 400 ms.

Change: a caller that names no revision is not answered because of it. The new test failed before (the call was answered within half a second) and passes now.

--- a/daemon/platform-host/src/dataCentre/peerMessages.ts
+++ b/daemon/platform-host/src/dataCentre/peerMessages.ts
@@ -44,12 +44,12 @@
   limitsRevision: number
   /** Starts of servers that leave, as far as the called host may not know; absent if there are none. */
   leavingServers?: string[]
-  /** Revision of the called host's leaving servers that the caller has. */
-  leavingRevision: number
+  /** Revision of the called host's leaving servers that the caller has; absent if it runs a program without them. */
+  leavingRevision?: number
   /** Crash suspects that the caller could not write to the store; absent if there are none. */
   crashSuspects?: SuspectReport[]
-  /** Revision of the called host's crash suspects that the caller has. */
-  crashesRevision: number
+  /** Revision of the called host's crash suspects that the caller has; absent if it runs a program without them. */
+  crashesRevision?: number
   /** Outcomes of the caller's sends since its last report; absent if there are none. */
   sendReport?: ReportedSends[]
 }
--- a/daemon/platform-host/src/dataCentre/peerServer.ts
+++ b/daemon/platform-host/src/dataCentre/peerServer.ts
@@ -66,14 +66,16 @@
     const isKnown = request.sourceBoot === options.boot
     const isSameList = request.membersDigest === members.digest()
     const membersRevision = isKnown ? request.membersRevision : 0
+    // A caller that names no revision runs a program that would not take the changes either.
+    const readRevision = (named: number | undefined, current: number): number => named === undefined ? current : isKnown ? named : 0
     return {
       configurationVersion: request.configurationVersion,
       registryRevision: isKnown ? request.registryRevision : request.registryDigest === digestServers(view.registry) ? view.registry.revision : 0,
       // If the digests differ at the same revision, the caller did not apply the list as it was sent and gets it again.
       membersRevision: isSameList ? members.revision() : membersRevision === members.revision() ? 0 : membersRevision,
       limitsRevision: isKnown ? request.limitsRevision : 0,
-      leavingRevision: isKnown ? request.leavingRevision : 0,
-      crashesRevision: isKnown ? request.crashesRevision : 0
+      leavingRevision: readRevision(request.leavingRevision, host.noticedServers.leavingReports.revision()),
+      crashesRevision: readRevision(request.crashesRevision, host.crashes.revision())
     }
   }
 
--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -3,6 +3,8 @@
 import assert from 'node:assert/strict'
 import { createServer } from 'node:net'
 import { test } from 'node:test'
+import { createMemberList } from '../src/dataCentre/memberList.js'
+import { decodeViewUpdate, type MembersUpdate } from '../src/dataCentre/peerMessages.js'
 import { serveRowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
 import { respondNormally, sendRequest, describeConfiguration, describeEntry, pause, startPlatform, startServer, waitUntil, type ScriptedServer, type TestPlatform } from './support/startPlatform.js'
 
@@ -168,6 +170,32 @@
   await waitUntil('the list matches that of the source again', async () => (await addressesOf(platform, 2)).length === 3)
 }))
 
+// During an update of the hosts, those of the earlier program called their source without a pause.
+test('a call of a host that does not know of crash suspects and of servers that leave is held until something else changes', () => withHosts(1, 2, async (platform, servers) => {
+  const [host] = platform.hosts
+  const address = platform.settings[0]?.peerAddress ?? ''
+  const [leaving] = servers as [ScriptedServer]
+  leaving.headers = { 'server-leaving': '1' }
+  await waitUntil('the host has something to say', async () => {
+    await sendRequest(platform.settings[0]?.guestAddress ?? '', '/reads/7')
+    return host?.dump().includes('"isLeaving":true') === true
+  })
+  const member = { name: 'host-9', peerAddress: '127.0.0.1:9', guestAddress: '127.0.0.1:9', processorShare: 0.1, dataCentre: 'north', ready: true }
+  const call = async (state: Record<string, unknown>, waitMilliseconds: number): Promise<Record<string, unknown>> => {
+    const body = JSON.stringify({ member, configurationVersion: 1, sourceBoot: '', registryRevision: 0, registryDigest: '', membersRevision: 0, membersDigest: '', limitsRevision: 0, ...state, waitMilliseconds, follows: true })
+    return JSON.parse((await sendRequest(address, '/siskinbeam.datacentre.v1.DataCentre/Sync', { method: 'POST', body })).body) as Record<string, unknown>
+  }
+  const { boot: sourceBoot, registryRevision, membersRevision, limitsRevision, news } = await call({}, 0)
+  const members = createMemberList(() => member, () => performance.now())
+  members.applyUpdate(decodeViewUpdate(String(news)).members as MembersUpdate)
+  let replied = false
+  const held = call({ sourceBoot, registryRevision, membersRevision, limitsRevision, membersDigest: members.digest() }, 60_000).then(() => { replied = true })
+  await pause(500)
+  assert.equal(replied, false)
+  platform.store.put('op', 'config', describeConfiguration(9))
+  await held
+}))
+
 // Regression: an error in the handler of a call was an unhandled rejection, which ended the process.
 test('a malformed call of another host is rejected, and the host keeps serving', () => withHosts(1, 1, async platform => {
   const { peerAddress = '', guestAddress = '' } = platform.settings[0] ?? {}
