Follow the configured limit on header bytes

Cause: the limit was a constant of 64 KB, and the configuration's `maxHeaderBytes` was read and not used.

The parser's own limit of 64 KB stays, as it is fixed when the listener is created. The scripted servers of the tests accept heads of up to 64 KB.

--- a/core/result-codes/src/describeResultCode.ts
+++ b/core/result-codes/src/describeResultCode.ts
@@ -14,7 +14,7 @@
   [ResultCode.MalformedRequest]: { status: 400, outcome: Outcome.NotRun, meaning: 'The request is not valid HTTP/1.1.', action: 'Correct the request.' },
   [ResultCode.AmbiguousFraming]: { status: 400, outcome: Outcome.NotRun, meaning: 'The length of the body is stated twice or in two ways.', action: 'Send either content-length or transfer-encoding, once.' },
   [ResultCode.HeaderInvalid]: { status: 400, outcome: Outcome.NotRun, meaning: 'A header that siskinbeam reads has a value out of range.', action: 'Correct the header named in the message.' },
-  [ResultCode.HeadersTooLarge]: { status: 431, outcome: Outcome.NotRun, meaning: 'The headers exceed 16 KiB.', action: 'Send smaller headers.' },
+  [ResultCode.HeadersTooLarge]: { status: 431, outcome: Outcome.NotRun, meaning: 'The headers exceed the limit.', action: 'Send smaller headers.' },
   [ResultCode.BodyTooLarge]: { status: 413, outcome: Outcome.NotRun, meaning: 'The body exceeds the limit of the service.', action: 'Send a smaller body, or raise maximumBodyBytes in the bundle.' },
   [ResultCode.UnknownService]: { status: 404, outcome: Outcome.NotRun, meaning: 'No service of the bundle matches the path.', action: 'Correct the path, or add the service to the bundle.' },
   [ResultCode.UnknownRoute]: { status: 405, outcome: Outcome.NotRun, meaning: 'The service has no route for this method and path.', action: 'Correct the method, or add the route to the bundle.' },
--- a/daemon/platform-host/src/guestListeners.ts
+++ b/daemon/platform-host/src/guestListeners.ts
@@ -10,6 +10,7 @@
 import { forwardRequest } from './requestPath/forwardRequest.js'
 import { findRoute } from './requestPath/findRoute.js'
 import { composeFilters, type GuestExchange } from './requestPath/guestExchange.js'
+import { limitHeaders } from './requestPath/limitHeaders.js'
 import { refuse } from './requestPath/refuse.js'
 
 export interface GuestListener {
@@ -19,6 +20,7 @@
   applyLimits: () => void
 }
 
+/** Limit of the parser. That of the configuration is checked by a filter, and a higher one has no effect. */
 const maximumHeaderBytes = 65_536
 /** Node's limit does not count separators and line ends. */
 const maximumHeadBytes = 2 * maximumHeaderBytes
@@ -31,7 +33,7 @@
 
 /** Creates the listener for guest requests, each of which passes through the filters of the request path. */
 export function createGuestListener (host: PlatformHost): GuestListener {
-  const serve = composeFilters([awaitInitialView, findRoute, bufferBody, forwardRequest])
+  const serve = composeFilters([awaitInitialView, limitHeaders, findRoute, bufferBody, forwardRequest])
   let inFlight = 0
   const exchanges = new WeakMap<ServerResponse, GuestExchange>()
   const server = createServer({ maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAliveTimeout: defaultIdleTimeoutMilliseconds + timeoutMarginMilliseconds }, (request, response) => {
--- a/daemon/platform-host/test/requestPath.test.ts
+++ b/daemon/platform-host/test/requestPath.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict'
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
-import { respondNormally, sendRequest, describeConfiguration, describeEntry, pause, startPlatform, startServer, waitUntil, type ScriptedServer, type ServerScript, type TestPlatform } from './support/startPlatform.js'
+import { respondNormally, sendRequest, describeConfiguration, describeEntry, pause, startPlatform, startServer, waitUntil, type GuestResponse, type ScriptedServer, type ServerScript, type TestPlatform } from './support/startPlatform.js'
 
 const notExecuted: ServerScript = (request, response) => {
   response.writeHead(503, { 'x-not-executed': '1', 'x-request-id': String(request.headers['x-request-id']), 'content-length': 0 }).end()
@@ -281,3 +281,19 @@
   assert.equal((await sendRequest(address, '/reads/7')).status, 502)
   assert.equal(countReceived(servers), 2)
 }))
+
+test('the limit on header bytes follows the configuration', () => withServers([respondNormally], async (platform, [server], address) => {
+  const send = (bytes: number): Promise<GuestResponse> => sendRequest(address, '/reads/7', { headers: { 'x-padding': 'x'.repeat(bytes) } })
+  const limits = { maxBodyBytes: 1_000_000, headerTimeoutS: 3, idleTimeoutS: 15 }
+  const statuses = async (): Promise<number[]> => (await Promise.all([3_000, 10_000, 40_000].map(send))).map(({ status }) => status)
+  const applyLimit = async (version: number, maxHeaderBytes: number): Promise<void> => {
+    platform.store.put('op', 'config', { ...describeConfiguration(version), limits: { ...limits, maxHeaderBytes } })
+    await waitUntil('the configuration is active', () => platform.hosts[0]?.dump().includes(`"configuration":${version}`) === true)
+  }
+  assert.deepEqual(await statuses(), [200, 200, 431])
+  await applyLimit(2, 4_096)
+  assert.deepEqual(await statuses(), [200, 431, 431])
+  await applyLimit(3, 50_000)
+  assert.deepEqual(await statuses(), [200, 200, 200])
+  assert.equal(server?.received.length, 6)
+}))
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -57,7 +57,7 @@
   serverCount += 1
   const server: ScriptedServer = { id: `i-${serverCount}`, address: '', received: [], load: '0,0,3,100', script, healthStatus: 200, limit: undefined, headers: {}, contacts: [], sockets: new Set(), resetsConnections: false, onIdleRequest: undefined, stop: () => {} }
   const usedSockets = new WeakSet<Socket>()
-  const listener = createHttpServer((request, response) => {
+  const listener = createHttpServer({ maxHeaderSize: 65_536 }, (request, response) => {
     server.contacts.push(performance.now())
     Object.entries(server.headers).forEach(([name, value]) => response.setHeader(name, value))
     if (server.limit !== undefined && request.url !== '/health') response.setHeader('server-limit', server.limit)
