Keep only the fingerprint of a send that has ended

Cause: sends that timed out or were cancelled are kept per server, up to 16 of each, in case the server turns out to have ended. Each kept its whole exchange, with a body of up to the configured size, so a host with some hundred servers and large bodies could pass its memory limit.

Change: the fingerprint is computed when the send ends.

--- a/daemon/platform-host/src/crashes/crashDetection.ts
+++ b/daemon/platform-host/src/crashes/crashDetection.ts
@@ -110,14 +110,14 @@
       return isLikelyRepeated || findFingerprint(request) !== undefined ? step({ kind: CrashEventKind.Finished, fingerprint: fingerprintRequest(request) }, now()) : []
     },
     recordDeath: ({ endpoint: { server }, at, inFlight }) => {
-      const requests = inFlight.map(({ request, sentAt }) => ({ fingerprint: fingerprintRequest(request), ageMilliseconds: Math.max(0, at - sentAt) }))
+      const requests = inFlight.map(({ fingerprint, sentAt }) => ({ fingerprint, ageMilliseconds: Math.max(0, at - sentAt) }))
       count('server_deaths_total')
       logger.warn('server died', {
         server: server.id,
         address: server.address,
         service: server.service,
         born: server.boot,
-        requests: inFlight.map(({ request }) => request.requestId).join(','),
+        requests: inFlight.map(({ requestId }) => requestId).join(','),
         fingerprints: requests.map(({ fingerprint }) => fingerprint).join(',')
       })
       return step({ kind: CrashEventKind.ServerDied, server: server.address, boot: `${server.id}@${server.boot}`, inFlight: requests }, at)
--- a/daemon/platform-host/src/servers/serverDeaths.ts
+++ b/daemon/platform-host/src/servers/serverDeaths.ts
@@ -4,7 +4,7 @@
 // its entry is replaced or expires. A send that is cancelled closes its connection, so its server is checked when it next refuses one.
 import { connect } from 'node:net'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
-import type { IdentifiedRequest } from '../crashes/fingerprintRequest.js'
+import { fingerprintRequest, type IdentifiedRequest } from '../crashes/fingerprintRequest.js'
 import type { ServerEndpoint } from './serverEndpoint.js'
 
 /** A request that was written to a server. */
@@ -14,12 +14,19 @@
   sentAt: number
 }
 
+/** What is kept of a send, without its request and body. */
+export interface SentRequest {
+  requestId: string
+  fingerprint: string
+  sentAt: number
+}
+
 /** A server that ended, with the requests that were in flight on it. */
 export interface ServerDeath {
   endpoint: ServerEndpoint
   /** When the connection of the first send broke, in milliseconds of the monotonic clock. */
   at: number
-  inFlight: OpenSend[]
+  inFlight: SentRequest[]
 }
 
 export interface ServerDeaths {
@@ -44,9 +51,8 @@
   onDeath: (death: ServerDeath) => Promise<void>
 }
 
-interface EndedSend {
-  send: OpenSend
-  at: number
+interface EndedSend extends SentRequest {
+  endedAt: number
 }
 
 interface ServerSends {
@@ -79,8 +85,8 @@
     sendsOf.set(endpoint, sends)
     return sends
   }
-  const listRecent = (ended: EndedSend[]): EndedSend[] => ended.filter(({ at }) => now() - at < breakWindowMilliseconds)
-  const append = (ended: EndedSend[], send: OpenSend): EndedSend[] => [...ended, { send, at: now() }].slice(-maximumEndedSends)
+  const listRecent = (ended: EndedSend[], milliseconds = breakWindowMilliseconds): EndedSend[] => ended.filter(({ endedAt }) => now() - endedAt < milliseconds)
+  const append = (ended: EndedSend[], send: OpenSend): EndedSend[] => [...ended, { ...describeSend(send), endedAt: now() }].slice(-maximumEndedSends)
 
   const check = async (endpoint: ServerEndpoint, sends: ServerSends, brokenAt: number): Promise<void> => {
     await new Promise(resolve => setTimeout(resolve, closeDelayMilliseconds))
@@ -92,8 +98,8 @@
     }
     const breaks = listRecent(sends.broken.splice(0))
     const cancelled = listRecent(sends.cancelled.splice(0))
-    const at = Math.min(brokenAt, ...breaks.map(each => each.at))
-    await onDeath({ endpoint, at, inFlight: [...new Set([...breaks, ...cancelled].map(({ send }) => send).concat(...sends.open))] })
+    const at = Math.min(brokenAt, ...breaks.map(({ endedAt }) => endedAt))
+    await onDeath({ endpoint, at, inFlight: [...breaks, ...cancelled, ...[...sends.open].map(describeSend)] })
   }
   const startCheck = (endpoint: ServerEndpoint, sends: ServerSends): Promise<void> => {
     sends.pendingCheck ??= check(endpoint, sends, now()).finally(() => { sends.pendingCheck = undefined })
@@ -119,19 +125,23 @@
     },
     recordLoss: endpoint => {
       const { unanswered: timedOut, cancelled } = findSends(endpoint)
-      const unanswered = [...timedOut.splice(0), ...cancelled.splice(0)].filter(({ at }) => now() - at < lossWindowMilliseconds)
+      const unanswered = listRecent([...timedOut.splice(0), ...cancelled.splice(0)], lossWindowMilliseconds)
       if (unanswered.length === 0) return
-      onDeath({ endpoint, at: Math.min(...unanswered.map(({ at }) => at)), inFlight: unanswered.map(({ send }) => send) }).catch(() => {})
+      onDeath({ endpoint, at: Math.min(...unanswered.map(({ endedAt }) => endedAt)), inFlight: unanswered }).catch(() => {})
     },
     recordBreak: (endpoint, send) => {
       const sends = findSends(endpoint)
       sends.open.delete(send)
-      sends.broken = [...listRecent(sends.broken), { send, at: now() }]
+      sends.broken = [...listRecent(sends.broken), { ...describeSend(send), endedAt: now() }]
       return startCheck(endpoint, sends)
     }
   }
 }
 
+function describeSend ({ request, sentAt }: OpenSend): SentRequest {
+  return { requestId: request.requestId, fingerprint: fingerprintRequest(request), sentAt }
+}
+
 function acceptsConnections (address: string): Promise<boolean> {
   return new Promise(resolve => {
     const socket = connect(splitAddress(address))
--- a/daemon/platform-host/test/crashRows.test.ts
+++ b/daemon/platform-host/test/crashRows.test.ts
@@ -7,13 +7,13 @@
 import { StoreOutcome, type StoreReply } from '@siskinbeam/platform-adapter/createStoreClient'
 import { createCrashDetection, type CrashDetection } from '../src/crashes/crashDetection.js'
 import { createCrashRows } from '../src/crashes/crashRows.js'
-import type { IdentifiedRequest } from '../src/crashes/fingerprintRequest.js'
+import { fingerprintRequest, type IdentifiedRequest } from '../src/crashes/fingerprintRequest.js'
 import type { ServerDeath } from '../src/servers/serverDeaths.js'
 import { waitUntil } from './support/startPlatform.js'
 
 const request = (url: string): IdentifiedRequest => ({ requestId: 'r-1', request: { method: 'GET', url, headers: { host: 'desk.example' } }, body: undefined })
 const death = (address: string, url: string): ServerDeath =>
-  ({ endpoint: { server: { id: `i-${address}`, address, boot: 1, service: 'desk' } }, at: 100, inFlight: [{ request: request(url), sentAt: 90 }] } as unknown as ServerDeath)
+  ({ endpoint: { server: { id: `i-${address}`, address, boot: 1, service: 'desk' } }, at: 100, inFlight: [{ requestId: 'r-1', fingerprint: fingerprintRequest(request(url)), sentAt: 90 }] } as unknown as ServerDeath)
 
 function createTestBed (write: () => StoreReply): { crashes: CrashDetection, rows: ReturnType<typeof createCrashRows>, written: Array<{ key: string, value: unknown }> } {
   const logger = createLogger({ component: 'test', write: () => {} })
