--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -46,7 +46,10 @@
         if (end === RelayEnd.Complete) {
           // The load report no longer counts this request, so it is recorded after the completion.
           recordReportHeader(host, service, server, response, ReportSource.Response)
-          handleHealthEvent(host, service, (response.statusCode ?? 0) >= minimumServerErrorStatus
+          const isServerError = (response.statusCode ?? 0) >= minimumServerErrorStatus
+          // A server in trouble may fail a request before it reaches the part that ends other servers.
+          if (!isServerError) host.handleCrashEvent({ kind: CrashEventKind.Finished, fingerprint: dispatch.fingerprint() })
+          handleHealthEvent(host, service, isServerError
             ? { kind: HealthEventKind.Failed, server: server.configuration.name, signs: parseServerStateHeaders(response) }
             : { kind: HealthEventKind.Responded, server: server.configuration.name, signs: parseServerStateHeaders(response), latencyMilliseconds: Math.max(0, host.now() - openAttempt.startedAt - server.roundTripMilliseconds) })
           exchange.claim?.responded(response.statusCode ?? 502, buffered?.headers() ?? {}, buffered?.body() ?? null)
@@ -89,12 +92,11 @@
 }
 
 const relayEndHandlers: Record<RelayEnd, (dispatch: Dispatch, openAttempt: OpenAttempt) => void> = {
-  [RelayEnd.Complete]: ({ exchange, host, service, fingerprint }, { server, startedAt }) => {
+  [RelayEnd.Complete]: ({ exchange, host, service }, { server, startedAt }) => {
     const latencyMilliseconds = host.now() - startedAt
     exchange.responseCompleted = true
     handleChoiceEvent(host, service, { kind: ChoiceEventKind.Completed, server: server.configuration.name, completion: CompletionKind.Responded, latencyMilliseconds })
     recordRequestLatency(service.hedging, latencyMilliseconds)
-    host.handleCrashEvent({ kind: CrashEventKind.Finished, fingerprint: fingerprint() })
     host.metrics.count('answers_total')
     host.metrics.recordMilliseconds('answer_milliseconds', host.now() - exchange.receivedAt)
   },
