--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -7,7 +7,7 @@
 import { Outcome, ResultCode } from '@siskinbeam/result-codes/resultCode'
 import { ChoiceEventKind, CompletionKind } from '@siskinbeam/server-choice/choiceState'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
-import { checkServerDeath } from '../servers/checkServerDeath.js'
+import { checkRefusingServer, checkServerDeath } from '../servers/checkServerDeath.js'
 import { handleChoiceEvent, handleHealthEvent, recordReportHeader, recordRejection, parseServerStateHeaders } from '../servers/observeServers.js'
 import type { ErrorResponse } from './errorResponse.js'
 import { handleAdmissionEvent, getClassRank } from './admitRequest.js'
@@ -116,7 +116,9 @@
 
 function recordUnreachedServer ({ host, service }: Dispatch, { server, startedAt }: OpenAttempt, reason: string): void {
   handleChoiceEvent(host, service, { kind: ChoiceEventKind.Completed, server: server.configuration.name, completion: CompletionKind.Cancelled, latencyMilliseconds: host.now() - startedAt })
-  if (reason === 'ECONNREFUSED') handleHealthEvent(host, service, { kind: HealthEventKind.ConnectionRefused, server: server.configuration.name })
+  if (reason !== 'ECONNREFUSED') return
+  handleHealthEvent(host, service, { kind: HealthEventKind.ConnectionRefused, server: server.configuration.name })
+  checkRefusingServer(host, service, server)
 }
 
 // Retries if the retry policy and the budget allow it; otherwise fails the request with the given error.
--- a/daemon/entry-host/src/requestPath/cancelOpenAttempts.ts
+++ b/daemon/entry-host/src/requestPath/cancelOpenAttempts.ts
@@ -1,5 +1,6 @@
 // Cancels the attempts of a request that have no response yet.
 import { ChoiceEventKind, CompletionKind } from '@siskinbeam/server-choice/choiceState'
+import { recordEndedSend } from '../servers/checkServerDeath.js'
 import { handleChoiceEvent } from '../servers/observeServers.js'
 import type { Dispatch } from './dispatchState.js'
 
@@ -8,7 +9,7 @@
   const { host, service } = dispatch
   dispatch.openAttempts.forEach(openAttempt => {
     openAttempt.attempt.cancel()
-    openAttempt.server.openSends.delete(openAttempt)
+    if (openAttempt.server.openSends.delete(openAttempt)) recordEndedSend(host, openAttempt)
     handleChoiceEvent(host, service, {
       kind: ChoiceEventKind.Completed,
       server: openAttempt.server.configuration.name,
--- a/daemon/entry-host/src/servers/createServiceRuntimes.ts
+++ b/daemon/entry-host/src/servers/createServiceRuntimes.ts
@@ -97,7 +97,7 @@
     connectionHealth: createConnectionHealthState(),
     boot: '',
     openSends: new Set(),
-    recentBrokenSends: [],
+    recentEndedSends: [],
     pendingDeathCheck: undefined
   }
   return server
--- a/daemon/entry-host/src/servers/serviceRuntime.ts
+++ b/daemon/entry-host/src/servers/serviceRuntime.ts
@@ -16,6 +16,13 @@
   writtenAt: number
 }
 
+/** What is kept of a send that broke or was cancelled. */
+export interface EndedSend {
+  fingerprint: string
+  writtenAt: number
+  endedAt: number
+}
+
 /** Runtime state of one server of a service. */
 export interface ServerRuntime {
   configuration: ServerConfiguration
@@ -28,8 +35,8 @@
   /** Last boot ID that the server stated; empty before the first. */
   boot: string
   openSends: Set<OpenSend>
-  /** Sends whose connection broke recently. They count as in flight if the server turns out to have died. */
-  recentBrokenSends: Array<OpenSend & { brokenAt: number }>
+  /** Sends that broke or were cancelled recently. They count as in flight if the server turns out to have died. */
+  recentEndedSends: EndedSend[]
   /** The running check whether the server died. */
   pendingDeathCheck: Promise<void> | undefined
 }
--- a/daemon/entry-host/test/crashingRequest.test.ts
+++ b/daemon/entry-host/test/crashingRequest.test.ts
@@ -1,9 +1,10 @@
-// Guards against a request that crashes servers and is passed on, since failures of other servers speak for it.
+// Guards against a request that crashes servers and is passed on, since failures of other servers speak for it or since its guest
+// leaves before the server ends.
 import assert from 'node:assert/strict'
 import type { Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { closeHeader, formatPost, formatResponse, parseCode } from './support/rawGuest.js'
+import { closeHeader, connectGuest, delay, formatGet, formatPost, formatResponse, parseCode } from './support/rawGuest.js'
 import { exchangeRaw, makeBundle, startScriptedServer, startTestHost, type TestHost } from './support/startTestHost.js'
 
 const serverCount = 10
@@ -52,3 +53,14 @@
     assertBounded(context, countCrashes())
   })
 })
+
+test('a request that crashes servers after its guest has left is refused', context => withServers((_socket, crash) => { setTimeout(crash, 40) }, async ({ guestAddress }, countCrashes) => {
+  for (let index = 0; index < 24; index += 1) {
+    const guest = connectGuest(guestAddress, formatGet('/desk/crash', closeHeader))
+    await delay(20)
+    guest.socket.destroy()
+    await delay(80)
+    await Promise.all(Array.from({ length: 4 }, () => exchangeRaw(guestAddress, formatGet('/desk/alive', closeHeader), 1_000)))
+  }
+  assertBounded(context, countCrashes())
+}))
