Let the soak play servers that leave, pause or end after their guest has left

The stand-in server reads what it says of itself from one file: a limit, that it leaves, until when it turns requests away. Copies of a crashing request may have guests that leave before the server ends.

--- a/bench/soak/src/driveGuests.ts
+++ b/bench/soak/src/driveGuests.ts
@@ -67,10 +67,12 @@
   unsafe: boolean
   /** Part of the path and of the body that identifies the content; the ID by default. */
   content?: string
+  /** Disconnects after this time. */
+  leavesAfterMilliseconds?: number | undefined
 }
 
 /** Sends one request of a guest and returns its outcome. */
-export async function sendGuestRequest ({ host, agent, id, unsafe, content = id }: SendGuestRequestOptions): Promise<ObservedRequest> {
+export async function sendGuestRequest ({ host, agent, id, unsafe, content = id, leavesAfterMilliseconds }: SendGuestRequestOptions): Promise<ObservedRequest> {
   const method = unsafe ? 'POST' : 'GET'
   const path = unsafe ? `/bookings/${content}` : `/reads/${content}`
   const body = unsafe ? `booking ${content}` : ''
@@ -82,11 +84,25 @@
     body,
     agent,
     headers: { host: guestHost, [Header.RequestId]: id, [Header.DeadlineMilliseconds]: String(deadlineMilliseconds) },
-    timeoutMilliseconds: guestTimeoutMilliseconds
+    timeoutMilliseconds: leavesAfterMilliseconds ?? guestTimeoutMilliseconds
   })
   const expected = formatResponseBody(id, method, path, body)
   const isExpectedResponse = response.body === expected && response.headers[Header.ServerSignature] === signResponse(id, expected)
-  return { id, unsafe, host: host.name, sentAt, endedAt: Date.now(), status: response.status, isExpectedResponse, reused: response.reused, hasResponseBytes: response.hasBytes, limitedServer: response.headers[Header.ServerLimit] === undefined ? undefined : String(response.headers[Header.ServerId]) }
+  const readNamedServer = (notice: Header): string | undefined => response.headers[notice] === undefined ? undefined : String(response.headers[Header.ServerId])
+  return {
+    id,
+    unsafe,
+    host: host.name,
+    sentAt,
+    endedAt: Date.now(),
+    status: response.status,
+    isExpectedResponse,
+    reused: response.reused,
+    hasResponseBytes: response.hasBytes,
+    limitedServer: readNamedServer(Header.ServerLimit),
+    leavingServer: readNamedServer(Header.ServerLeaving),
+    leftEarly: leavesAfterMilliseconds !== undefined && response.status === 0
+  }
 }
 
 interface SendHttpRequestOptions {
--- a/bench/soak/src/findViolations.ts
+++ b/bench/soak/src/findViolations.ts
@@ -22,6 +22,8 @@
   OverLimit = 'over-limit',
   /** A request that crashes servers was sent to further ones. */
   CrashedServers = 'crashed-servers',
+  /** A request reached a server that had told its host that it leaves, or that it wants a pause. */
+  IgnoredNotice = 'ignored-notice',
   /** The process of a host exited without a signal from the soak. */
   EndedByItself = 'ended-by-itself'
 }
@@ -59,7 +61,7 @@
     [ViolationKind.RefusedButRan, ({ id, status }) => notRunStatuses.has(status) && runCounts.has(id)],
     [ViolationKind.WrongAnswer, ({ status, isExpectedResponse }) => status >= 200 && status < 300 && !isExpectedResponse],
     [ViolationKind.Lost, request => {
-      if (request.status !== 0 || isDisturbed(request, [DisturbanceKind.Killed, DisturbanceKind.Paused], timingToleranceMilliseconds)) return false
+      if (request.status !== 0 || request.leftEarly === true || isDisturbed(request, [DisturbanceKind.Killed, DisturbanceKind.Paused], timingToleranceMilliseconds)) return false
       if (runCounts.has(request.id) || request.hasResponseBytes) return true
       // A request that is sent while the host closes a persistent connection was not accepted.
       return !request.reused && !isDisturbed(request, [DisturbanceKind.Stopped], timingToleranceMilliseconds)
--- a/bench/soak/src/injectFault.ts
+++ b/bench/soak/src/injectFault.ts
@@ -3,7 +3,7 @@
 import { Path, Table } from '@siskinbeam/platform-adapter/wire'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
 import { DisturbanceKind, type Disturbance } from './disturbance.js'
-import { crashPathMarker } from '@siskinbeam/stand-in-platform-server/crashPathMarker'
+import { crashPathMarker, lateCrashPathMarker } from '@siskinbeam/stand-in-platform-server/crashPathMarker'
 import { sendGuestRequest, sendHttpRequest } from './driveGuests.js'
 import { faultFreeLink } from './faultyProxy.js'
 import { FaultKind, type PlannedFault } from './planFaults.js'
@@ -18,6 +18,9 @@
 /** The store is away for up to this long before it comes back from a copy. */
 const maximumAwayMilliseconds = 2_000
 const repeatMilliseconds = 300
+/** From this target on, the guests of a crashing request leave before its server ends. */
+const leavingGuestTarget = 0.75
+const leavingGuestMilliseconds = 40
 /** Entries of servers that have crashed expire after this time. */
 const lapseMilliseconds = 3_000
 const affectedRatio = 0.4
@@ -86,6 +89,8 @@
   FaultKind.RestoreStore, FaultKind.BlockStoreLink, FaultKind.ResetStoreLinks
 ])
 
+const linkFaults = new Set([FaultKind.ResetServerLinks, FaultKind.DelayServerLinks, FaultKind.BlockServerResponses, FaultKind.PauseServer])
+
 const faultInjectors: Record<FaultKind, FaultInjector> = {
   [FaultKind.KillHost]: (fleet, fault) => restartHost(pickHost(fleet, fault), 'SIGKILL'),
   [FaultKind.StopHost]: (fleet, fault) => restartHost(pickHost(fleet, fault), 'SIGTERM'),
@@ -140,13 +145,14 @@
     await writeAgain()
   },
   [FaultKind.CrashingRequest]: async (fleet, { durationMilliseconds, target }) => {
-    const content = `${crashPathMarker}-${Math.floor(target * 1e6)}`
     const unsafe = target < 0.5
+    const leavesAfterMilliseconds = target >= leavingGuestTarget ? leavingGuestMilliseconds : undefined
+    const content = `${leavesAfterMilliseconds === undefined ? crashPathMarker : lateCrashPathMarker}-${Math.floor(target * 1e6)}`
     const end = Date.now() + durationMilliseconds
     const pending: Array<Promise<void>> = []
     for (let sent = 0; Date.now() < end; sent += 1) {
       const host = fleet.hosts[sent % fleet.hosts.length] as SoakHost
-      pending.push(sendGuestRequest({ host, agent: false, id: `${content}-${sent}`, unsafe, content }).then(copy => { fleet.crashCopies.push({ ...copy, content }) }))
+      pending.push(sendGuestRequest({ host, agent: false, id: `${content}-${sent}`, unsafe, content, leavesAfterMilliseconds }).then(copy => { fleet.crashCopies.push({ ...copy, content }) }))
       await pause(repeatMilliseconds)
       pending.push(...fleet.servers.filter(({ child }) => !child.isRunning()).map(server => replaceCrashed(fleet, server)))
     }
@@ -159,15 +165,28 @@
     const requestsPerSecond = limitsPerSecond[Math.floor(fault.target * 1e6) % limitsPerSecond.length] as number
     const period = { server: server.id, requestsPerSecond, from: Date.now(), to: Infinity }
     fleet.limits.push(period)
-    server.setLimit(requestsPerSecond)
+    server.notify({ limit: requestsPerSecond })
     await pause(fault.durationMilliseconds)
     period.to = Date.now()
-    server.setLimit(undefined)
+    server.notify({ limit: undefined })
+  },
+  [FaultKind.LeaveServer]: async (fleet, { durationMilliseconds, ...fault }) => {
+    const server = pickServer(fleet, { durationMilliseconds, ...fault })
+    if (server === undefined || fleet.servers.length <= minimumServers) return
+    server.notify({ isLeaving: true })
+    // The entry says ready for a while longer.
+    await pause(durationMilliseconds)
+    if (fleet.servers.includes(server)) await replaceServer(fleet, server)
+  },
+  [FaultKind.PauseCallers]: async (fleet, fault) => {
+    const server = pickServer(fleet, fault)
+    server?.notify({ pausedUntil: Date.now() + fault.durationMilliseconds })
+    await pause(fault.durationMilliseconds)
   }
 }
 
-async function applyLinkFaults (links: Array<SoakHost['storeLink']>, linkFaults: Partial<typeof faultFreeLink>, { durationMilliseconds }: PlannedFault): Promise<void> {
-  links.forEach(({ faults }) => Object.assign(faults, linkFaults))
+async function applyLinkFaults (links: Array<SoakHost['storeLink']>, changes: Partial<typeof faultFreeLink>, { durationMilliseconds }: PlannedFault): Promise<void> {
+  links.forEach(({ faults }) => Object.assign(faults, changes))
   await pause(durationMilliseconds)
   links.forEach(({ faults }) => Object.assign(faults, faultFreeLink))
 }
@@ -176,6 +195,7 @@
 export async function injectFault (fleet: Fleet, fault: PlannedFault): Promise<void> {
   const disturbance = { from: Date.now(), to: Infinity }
   if (storeFaults.has(fault.kind)) fleet.storeDisturbances.push(disturbance)
+  if (linkFaults.has(fault.kind)) fleet.linkDisturbances.push(disturbance)
   await faultInjectors[fault.kind](fleet, fault)
   disturbance.to = Date.now()
 }
--- a/bench/soak/src/observedRequest.ts
+++ b/bench/soak/src/observedRequest.ts
@@ -17,4 +17,8 @@
   hasResponseBytes: boolean
   /** ID of the server whose limit the response named. */
   limitedServer: string | undefined
+  /** ID of the server that the response said to be leaving. */
+  leavingServer?: string | undefined
+  /** Whether the guest disconnected before it had a response. */
+  leftEarly?: boolean
 }
--- a/bench/soak/src/planFaults.ts
+++ b/bench/soak/src/planFaults.ts
@@ -31,7 +31,11 @@
   /** A guest sends a request that crashes the servers that run it, again and again. */
   CrashingRequest = 'crashing-request',
   /** A server names a limit. */
-  LimitServer = 'limit-server'
+  LimitServer = 'limit-server',
+  /** A server says in its responses that it leaves, then drains and is replaced. */
+  LeaveServer = 'leave-server',
+  /** A server turns requests away and says for how long. */
+  PauseCallers = 'pause-callers'
 }
 
 export interface PlannedFault {
@@ -51,7 +55,7 @@
 }
 
 /** Drawn apart, so that the other faults of a seed stay the same. */
-const separateKinds = [FaultKind.LimitServer, FaultKind.RestoreStore, FaultKind.CrashingRequest]
+const separateKinds = [FaultKind.LimitServer, FaultKind.RestoreStore, FaultKind.CrashingRequest, FaultKind.LeaveServer, FaultKind.PauseCallers]
 const kinds = Object.values(FaultKind).filter(kind => !separateKinds.includes(kind))
 const limitSeed = 0x5eed
 const restoreSeed = 0xc09e
@@ -59,6 +63,11 @@
 const crashSeed = 0xdead
 const crashProbability = 0.6
 const crashMilliseconds = 8_000
+const noticeSeed = 0x1eaf
+const maximumNotices = 4
+const noticeKinds = [FaultKind.LeaveServer, FaultKind.PauseCallers, FaultKind.PauseCallers]
+const minimumNoticeMilliseconds = 2_000
+const maximumNoticeMilliseconds = 7_000
 const maximumLimits = 4
 const minimumLimitMilliseconds = 7_000
 const maximumLimitMilliseconds = 14_000
@@ -79,7 +88,7 @@
     if (at >= end) return []
     return [...drawSeries(random, at), ...draw(at)]
   }
-  return [...draw(faultFreeMilliseconds), ...drawLimits(seed, milliseconds), ...drawRestores(seed, milliseconds), ...drawCrashes(seed, milliseconds)].filter(({ at, kind }) => at < end && only.includes(kind)).sort((first, second) => first.at - second.at)
+  return [...draw(faultFreeMilliseconds), ...drawLimits(seed, milliseconds), ...drawRestores(seed, milliseconds), ...drawCrashes(seed, milliseconds), ...drawNotices(seed, milliseconds)].filter(({ at, kind }) => at < end && only.includes(kind)).sort((first, second) => first.at - second.at)
 }
 
 function drawLimits (seed: number, milliseconds: number): PlannedFault[] {
@@ -108,6 +117,16 @@
   return [{ kind: FaultKind.CrashingRequest, at: faultFreeMilliseconds + Math.max(0, milliseconds - crashMilliseconds) * random() / 2, durationMilliseconds: crashMilliseconds, target: random() }]
 }
 
+function drawNotices (seed: number, milliseconds: number): PlannedFault[] {
+  const random = createRandom(seed ^ noticeSeed)
+  return Array.from({ length: pickIndex(random, maximumNotices + 1) }, () => ({
+    kind: noticeKinds[pickIndex(random, noticeKinds.length)] as FaultKind,
+    at: faultFreeMilliseconds + Math.max(0, milliseconds - maximumNoticeMilliseconds) * random(),
+    durationMilliseconds: minimumNoticeMilliseconds + (maximumNoticeMilliseconds - minimumNoticeMilliseconds) * random(),
+    target: random()
+  }))
+}
+
 function drawSeries (random: Random, at: number): PlannedFault[] {
   const kind = kinds[pickIndex(random, kinds.length)] as FaultKind
   const count = random() < seriesProbability ? 2 + pickIndex(random, maximumSeriesLength - 1) : 1
--- a/bench/soak/src/runSeed.ts
+++ b/bench/soak/src/runSeed.ts
@@ -10,6 +10,7 @@
 import { driveGuests, sendHttpRequest, sendGuestRequest } from './driveGuests.js'
 import type { ObservedRequest } from './observedRequest.js'
 import { findCrashViolations } from './findCrashViolations.js'
+import { findNoticeViolations } from './findNoticeViolations.js'
 import { findLimitViolations } from './findLimitViolations.js'
 import { injectFault } from './injectFault.js'
 import { planFaults, type FaultKind } from './planFaults.js'
@@ -67,13 +68,14 @@
     const disturbancesOf = (name: string): Disturbance[] => fleet.hosts.find(host => host.name === name)?.disturbances ?? []
     const limitViolations = findLimitViolations({ requests, runs, limits: fleet.limits, hosts: fleet.hosts.map(({ name }) => name), disturbancesOf })
     const crashViolations = findCrashViolations({ copies: fleet.crashCopies, runs, disturbancesOf, storeDisturbances: fleet.storeDisturbances })
+    const noticeViolations = findNoticeViolations({ requests, runs, disturbancesOf, linkDisturbances: fleet.linkDisturbances })
     const violations = findViolations({
       requests,
       runs,
       disturbancesOf,
       maximumResponseMilliseconds: options.checksResponseTimes ? maximumResponseMilliseconds : undefined
     })
-    return { seed, requests: requests.length, answered: requests.filter(({ status }) => status === 200).length, faults: plan.length, violations: [...violations, ...limitViolations, ...crashViolations, ...recoveryViolations, ...exited] }
+    return { seed, requests: requests.length, answered: requests.filter(({ status }) => status === 200).length, faults: plan.length, violations: [...violations, ...limitViolations, ...crashViolations, ...noticeViolations, ...recoveryViolations, ...exited] }
   } finally {
     await fleet.stop()
   }
--- a/bench/soak/src/startFleet.ts
+++ b/bench/soak/src/startFleet.ts
@@ -1,11 +1,12 @@
 // The system under test: an in-process stand-in of the store, servers and entry hosts as child processes, and
 // proxies on the links between them.
-import { mkdirSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdirSync, renameSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { findFreePort } from '@siskinbeam/listeners/findFreePort'
 import { configurationKey, Table } from '@siskinbeam/platform-adapter/wire'
 import { serveRowStore, type RowStore } from '@siskinbeam/stand-in-platform/serveRowStore'
+import type { Notices } from '@siskinbeam/stand-in-platform-server/notices'
 import { createConfiguration, createServerEntry } from '@siskinbeam/stand-in-platform-server/storeEntries'
 import { startChild, type RunningChild } from './childProcess.js'
 import type { Disturbance } from './disturbance.js'
@@ -30,8 +31,8 @@
   id: string
   link: FaultyProxy
   child: RunningChild
-  /** Sets the limit that the server names, in requests per second; undefined for none. */
-  setLimit: (requestsPerSecond: number | undefined) => void
+  /** Changes what the server says of itself in its responses. */
+  notify: (change: { [Notice in keyof Notices]: Notices[Notice] | undefined }) => void
   /** When the store accepted the entry that marks the server as draining; epoch milliseconds. */
   drainingSince: number | undefined
   startedAt: number
@@ -51,6 +52,8 @@
   crashCopies: Array<ObservedRequest & { content: string }>
   /** Periods of faults of the store; epoch milliseconds. */
   storeDisturbances: Array<{ from: number, to: number }>
+  /** Periods of faults on the links of servers or of the servers themselves; epoch milliseconds. */
+  linkDisturbances: Array<{ from: number, to: number }>
   configurationVersion: number
   startServer: () => Promise<SoakServer>
   /** Marks a server as draining, then removes it from the store and kills it after the drain time. */
@@ -110,14 +113,20 @@
     startedServers += 1
     const id = `i-${startedServers}`
     const port = await findFreePort()
-    const limitFile = join(directory, `limit-${id}`)
+    const noticeFile = join(directory, `notices-${id}.json`)
+    const notices: Notices = {}
     const child = startChild({
       program: '@siskinbeam/stand-in-platform-server/runPlatformServer',
-      arguments: ['--id', id, '--port', String(port), '--slots', String(slots), '--run-file', join(directory, `runs-${id}.jsonl`), '--limit-file', limitFile],
+      arguments: ['--id', id, '--port', String(port), '--slots', String(slots), '--run-file', join(directory, `runs-${id}.jsonl`), '--notice-file', noticeFile],
       environment: {},
       logFile: join(directory, `server-${id}.log`)
     })
-    const server: SoakServer = { id, link: await startFaultyProxy(`127.0.0.1:${port}`), child, setLimit: requestsPerSecond => requestsPerSecond === undefined ? rmSync(limitFile, { force: true }) : writeFileSync(limitFile, String(requestsPerSecond)), drainingSince: undefined, startedAt: Date.now(), entries: 0 }
+    const notify: SoakServer['notify'] = change => {
+      // A server may read the file at any moment, so it is replaced as a whole.
+      writeFileSync(`${noticeFile}.new`, JSON.stringify(Object.assign(notices, change)))
+      renameSync(`${noticeFile}.new`, noticeFile)
+    }
+    const server: SoakServer = { id, link: await startFaultyProxy(`127.0.0.1:${port}`), child, notify, drainingSince: undefined, startedAt: Date.now(), entries: 0 }
     servers.push(server)
     registered.add(server)
     writeServerEntry(server)
@@ -143,6 +152,7 @@
     limits: [],
     crashCopies: [],
     storeDisturbances: [],
+    linkDisturbances: [],
     configurationVersion: 0,
     startServer,
     retireServer,
--- a/stand-ins/platform-server/src/runLogEntry.ts
+++ b/stand-ins/platform-server/src/runLogEntry.ts
@@ -4,7 +4,9 @@
   /** A request or a health check arrived. */
   Contacted = 'contacted',
   Started = 'begins',
-  Ended = 'ends'
+  Ended = 'ends',
+  /** A request was turned away with the time for which its host is to send none. */
+  TurnedAway = 'turned-away'
 }
 
 /** One line of a run file, as JSON. */
@@ -17,4 +19,6 @@
   request: string
   /** Whether the request may run at most once. */
   unsafe: boolean
+  /** For requests that were turned away: how long their host is to send none. */
+  pauseMilliseconds?: number
 }
--- a/stand-ins/platform-server/src/runPlatformServer.ts
+++ b/stand-ins/platform-server/src/runPlatformServer.ts
@@ -5,7 +5,8 @@
 import { Command } from 'commander'
 import { Header } from '@siskinbeam/platform-adapter/wire'
 import { signResponse, formatResponseBody } from './responseBody.js'
-import { crashPathMarker } from './crashPathMarker.js'
+import { crashPathMarker, lateCrashPathMarker } from './crashPathMarker.js'
+import type { Notices } from './notices.js'
 import { RunEvent, type RunLogEntry } from './runLogEntry.js'
 
 interface Options {
@@ -14,7 +15,7 @@
   slots: string
   workMilliseconds: string
   runFile: string
-  limitFile: string | undefined
+  noticeFile: string | undefined
 }
 
 interface Job {
@@ -28,13 +29,14 @@
 const overloadedStatus = 503
 const deadlineStatus = 504
 const crashExitCode = 70
+const lateCrashMilliseconds = 60
 
-const { id, port, slots, workMilliseconds, runFile, limitFile } = new Command('platform-server')
+const { id, port, slots, workMilliseconds, runFile, noticeFile } = new Command('platform-server')
   .description('Stand-in for a server on the users\' platform.')
   .requiredOption('--id <id>', 'id of this instance of the server')
   .requiredOption('--port <port>', 'port on 127.0.0.1')
   .requiredOption('--run-file <path>', 'file to which a line is appended when a request starts and when it ends')
-  .option('--limit-file <path>', 'file with the limit that responses name, in requests per second; none if it does not exist')
+  .option('--notice-file <path>', 'file with what responses say of the server, as JSON; nothing if it does not exist')
   .option('--slots <count>', 'maximum number of concurrent requests', '4')
   .option('--work-milliseconds <ms>', 'mean service time in milliseconds', '60')
   .parse()
@@ -43,17 +45,19 @@
 const queue: Job[] = []
 let running = 0
 
-const recordRunEvent = (event: RunEvent, request: string, unsafe: boolean): void => {
-  const line: RunLogEntry = { at: Date.now(), event, server: id, request, unsafe }
+const recordRunEvent = (event: RunEvent, request: string, unsafe: boolean, detail: Pick<RunLogEntry, 'pauseMilliseconds'> = {}): void => {
+  const line: RunLogEntry = { at: Date.now(), event, server: id, request, unsafe, ...detail }
   appendFileSync(runFile, `${JSON.stringify(line)}\n`)
 }
-const loadHeaders = (): Record<string, string> => ({
+const readNotices = (): Notices => noticeFile === undefined || !existsSync(noticeFile) ? {} : JSON.parse(readFileSync(noticeFile, 'utf8')) as Notices
+const loadHeaders = ({ limit, isLeaving } = readNotices()): Record<string, string> => ({
   [Header.ServerLoad]: `${running},${queue.length},${slots},100`,
   [Header.ServerId]: id,
-  ...(limitFile === undefined || !existsSync(limitFile) ? {} : { [Header.ServerLimit]: readFileSync(limitFile, 'utf8') })
+  ...(limit === undefined ? {} : { [Header.ServerLimit]: String(limit) }),
+  ...(isLeaving === true ? { [Header.ServerLeaving]: '1' } : {})
 })
-const reject = (response: ServerResponse, status: number, requestId: string): void => {
-  response.writeHead(status, { ...loadHeaders(), [Header.NotExecuted]: 'true', [Header.RequestId]: requestId, 'content-length': 0 }).end()
+const reject = (response: ServerResponse, status: number, requestId: string, headers: Record<string, string> = {}): void => {
+  response.writeHead(status, { ...loadHeaders(), ...headers, [Header.NotExecuted]: 'true', [Header.RequestId]: requestId, 'content-length': 0 }).end()
 }
 
 function runRequest (request: IncomingMessage, response: ServerResponse, requestId: string, body: string): void {
@@ -62,7 +66,8 @@
   const unsafe = request.method !== 'GET'
   running += 1
   recordRunEvent(RunEvent.Started, requestId, unsafe)
-  if (request.url?.includes(crashPathMarker) === true) process.exit(crashExitCode)
+  if (request.url?.includes(lateCrashPathMarker) === true) setTimeout(() => process.exit(crashExitCode), lateCrashMilliseconds)
+  else if (request.url?.includes(crashPathMarker) === true) process.exit(crashExitCode)
   const endRun = (): void => {
     clearTimeout(timer)
     running -= 1
@@ -87,6 +92,11 @@
   const requestId = String(request.headers[Header.RequestId] ?? '')
   const expected = request.headers[Header.ExpectedServer]
   if (expected !== undefined && expected !== id) return reject(response, misdirectedStatus, requestId)
+  const pauseMilliseconds = (readNotices().pausedUntil ?? 0) - Date.now()
+  if (pauseMilliseconds > 0) {
+    recordRunEvent(RunEvent.TurnedAway, requestId, request.method !== 'GET', { pauseMilliseconds })
+    return reject(response, overloadedStatus, requestId, { [Header.RetryAfter]: (pauseMilliseconds / 1_000).toFixed(3) })
+  }
   if (running >= Number(slots) && queue.length >= queueLength) return reject(response, overloadedStatus, requestId)
   if (running < Number(slots)) return runRequest(request, response, requestId, body)
   const job: Job = { start: () => runRequest(request, response, requestId, body) }
