--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -35,6 +35,15 @@
   rmSync(directory, { recursive: true })
 })
 
+// With few servers under load, hosts would soon return to a server that has turned them away.
+test('hosts leave servers alone that say that they leave or want a pause (seed 7002)', async () => {
+  const directory = mkdtempSync(join(tmpdir(), 'soak-test-'))
+  const { violations, answered } = await runSeed({ seed: 7_002, milliseconds: 12_000, hosts: 2, servers: 3, guests: 20, rate: 6, directory, only: [FaultKind.LeaveServer, FaultKind.PauseCallers], checksResponseTimes: false, report: () => {} })
+  assert.deepEqual(violations, [], `logs are in ${directory}`)
+  assert.ok(answered > 0)
+  rmSync(directory, { recursive: true })
+})
+
 // Response times are not checked here, since other load on the machine may delay the processes.
 seeds.forEach(([soakSeed, cause]) => test(`no guarantee is violated in a short soak (seed ${soakSeed}: ${cause})`, async () => {
   const directory = mkdtempSync(join(tmpdir(), 'soak-test-'))
