Keep the pauses that servers want in the own interface too

The own interface knew servers that leave (`server-state: draining`), but no word of a server for a pause. A 503 with `not-started: true` may now carry `server-pause` in seconds, kept with the same package as on the platform: no request, retry, hedge or probe until then, no evidence of a failure or an overload, code 211 if no server is left. `retry-after` keeps its meaning there, as shedding servers have always sent it.

--- a/daemon/entry-host/src/controlLoops/startProbingLoop.ts
+++ b/daemon/entry-host/src/controlLoops/startProbingLoop.ts
@@ -12,6 +12,7 @@
 import { handleAdmissionEvent } from '../requestPath/admitRequest.js'
 import { handleProbingEvent } from '../servers/observeServers.js'
 import { handleConnectionEvent } from '../servers/watchConnections.js'
+import { readPauseMilliseconds } from '../servers/pausedServers.js'
 import { probeServer } from '../servers/probeServer.js'
 import type { ServiceRuntime } from '../servers/serviceRuntime.js'
 
@@ -60,7 +61,7 @@
   const handlers: { [Kind in ProbingCommandKind]: (command: Extract<ProbingCommand, { kind: Kind }>) => void } = {
     [ProbingCommandKind.Probe]: ({ server, newConnection }) => {
       const runtime = service.servers.get(server)
-      if (runtime !== undefined) probeServer(host, service, runtime, newConnection).catch(error => host.logger.error('probe failed', { server, reason: String(error) }))
+      if (runtime !== undefined && readPauseMilliseconds(host, service, runtime) === undefined) probeServer(host, service, runtime, newConnection).catch(error => host.logger.error('probe failed', { server, reason: String(error) }))
     },
     [ProbingCommandKind.ShareReports]: ({ peer, reports }) => shareReports(peer, service.configuration.name, reports)
   }
--- a/daemon/entry-host/src/operators/describeHost.ts
+++ b/daemon/entry-host/src/operators/describeHost.ts
@@ -4,6 +4,7 @@
 import type { RolloutStatus } from '@siskinbeam/rollout/rolloutState'
 import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
 import type { EntryHost } from '../entryHost.js'
+import { readPauseMilliseconds } from '../servers/pausedServers.js'
 import type { ServiceRuntime } from '../servers/serviceRuntime.js'
 
 export interface DescribeHostOptions {
@@ -50,6 +51,7 @@
         boot: server.boot,
         weight: round(readServerWeight(service.health, name, now)),
         leaving: health?.leaving?.sign,
+        pauseMilliseconds: readPauseMilliseconds(host, service, server),
         ejectedMilliseconds: health === undefined || health.ejectedUntil <= now ? undefined : Math.round(health.ejectedUntil - now),
         ownInFlight: load?.ownInFlight,
         reportedInFlight: load?.reportedInFlight,
--- a/daemon/entry-host/src/requestPath/attemptOutcomes.ts
+++ b/daemon/entry-host/src/requestPath/attemptOutcomes.ts
@@ -9,6 +9,7 @@
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { checkRefusingServer, checkServerDeath } from '../servers/checkServerDeath.js'
 import { handleChoiceEvent, handleHealthEvent, recordReportHeader, recordRejection, parseServerStateHeaders } from '../servers/observeServers.js'
+import { describePauses, recordNamedPause } from '../servers/pausedServers.js'
 import type { ErrorResponse } from './errorResponse.js'
 import { handleAdmissionEvent, getClassRank } from './admitRequest.js'
 import { cancelOpenAttempts } from './cancelOpenAttempts.js'
@@ -61,14 +62,15 @@
   },
   [AttemptOutcomeKind.NotStarted]: (dispatch, openAttempt, { reason, response }) => {
     const { exchange, host, service } = dispatch
+    const isPause = response !== undefined && recordNamedPause(host, service, openAttempt.server, response)
     exchange.provablyNotStarted += 1
     if (response === undefined) recordUnreachedServer(dispatch, openAttempt, reason)
     else recordRejection(host, service, openAttempt.server, response)
     if (openAttempt.written) exchange.claim?.notStarted()
     if (exchange.finished || dispatch.responseStarted) return
-    // A draining server refuses requests regardless of its load, so its refusal is no sign of overload.
-    if (response !== undefined && !parseServerStateHeaders(response).draining) handleAdmissionEvent(host, service, { kind: AdmissionEventKind.Shed, requestId: exchange.exchangeId, resends: true, refusalOutcome: Outcome.NotRun })
-    const error = {
+    // A server that drains or wants a pause refuses requests regardless of its load, so its refusal is no sign of overload.
+    if (response !== undefined && !isPause && !parseServerStateHeaders(response).draining) handleAdmissionEvent(host, service, { kind: AdmissionEventKind.Shed, requestId: exchange.exchangeId, resends: true, refusalOutcome: Outcome.NotRun })
+    const error = describePauses(host, service) ?? {
       code: ResultCode.ServersRefused, message: `the last server tried did not start the request: ${reason}`, retryAfterMilliseconds: 1_000
     }
     // Without an idempotency key, only the server's statement says that the request did not run, so it is not sent again.
--- a/daemon/entry-host/src/requestPath/dispatchRequest.ts
+++ b/daemon/entry-host/src/requestPath/dispatchRequest.ts
@@ -6,9 +6,9 @@
 import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
 import { ChoiceEventKind } from '@siskinbeam/server-choice/choiceState'
 import { chooseServer } from '@siskinbeam/server-choice/chooseServer'
-import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
 import { HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { handleChoiceEvent, handleHealthEvent, recordSend } from '../servers/observeServers.js'
+import { describePauses, readAvailableWeight } from '../servers/pausedServers.js'
 import type { ServerRuntime } from '../servers/serviceRuntime.js'
 import { handleConnectionEvent } from '../servers/watchConnections.js'
 import { sendErrorResponse } from './sendErrorResponse.js'
@@ -49,7 +49,7 @@
       policy: service.configuration.policy,
       now: host.now(),
       random: host.random,
-      readWeight: server => readServerWeight(service.health, server, host.now()),
+      readWeight: server => readAvailableWeight(host, service, server),
       excluded
     })
     const name = serverName ?? choose(dispatch.triedServers) ?? choose(dispatch.triedServers.filter(tried => !dispatch.serversWithStaleConnections.has(tried)))
@@ -57,9 +57,9 @@
     if (server !== undefined) return sendTo(dispatch, server, isHedge)
     if (isHedge) returnToken(service.retryBudget)
     if (dispatch.openAttempts.size > 0) return
-    failRequest(dispatch, dispatch.triedServers.length === 0
+    failRequest(dispatch, describePauses(host, service) ?? (dispatch.triedServers.length === 0
       ? { code: ResultCode.NoServer, message: 'no server takes new work', retryAfterMilliseconds: 1_000 }
-      : { code: ResultCode.ServersRefused, message: 'each server that was tried refused', retryAfterMilliseconds: 1_000 })
+      : { code: ResultCode.ServersRefused, message: 'each server that was tried refused', retryAfterMilliseconds: 1_000 }))
   })
 }
 
@@ -120,7 +120,7 @@
 // Checked when the connection is open, immediately before the first byte: since the server was selected, it may have
 // started to shut down, the claim may have expired, or the guest may have disconnected.
 function maySend ({ exchange, service, host }: Dispatch, server: ServerRuntime): boolean {
-  return !exchange.finished && (exchange.claim?.maySend() ?? true) && readServerWeight(service.health, server.configuration.name, host.now()) > 0
+  return !exchange.finished && (exchange.claim?.maySend() ?? true) && readAvailableWeight(host, service, server.configuration.name) > 0
 }
 
 function onDeadline (dispatch: Dispatch): void {
--- a/daemon/entry-host/src/requestPath/forwardHeaders.ts
+++ b/daemon/entry-host/src/requestPath/forwardHeaders.ts
@@ -6,7 +6,7 @@
 const hopByHopHeaders = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
 ])
-const internalResponseHeaders = new Set(['endpoint-load-metrics', 'server-boot', 'server-state', 'not-started', 'siskinbeam-request-id', 'siskinbeam-account', 'siskinbeam-replayed'])
+const internalResponseHeaders = new Set(['endpoint-load-metrics', 'server-boot', 'server-state', 'server-pause', 'not-started', 'siskinbeam-request-id', 'siskinbeam-account', 'siskinbeam-replayed'])
 
 const parseConnectionOptions = (value: string | undefined): Set<string> =>
   new Set((value ?? '').toLowerCase().split(',').map(name => name.trim()).filter(name => name !== ''))
--- a/daemon/entry-host/src/requestPath/isolateSuspect.ts
+++ b/daemon/entry-host/src/requestPath/isolateSuspect.ts
@@ -1,7 +1,7 @@
 // Restricts the sending of requests that are suspected of crashing servers.
 import { decideSuspectSend, SendDecisionKind, type SendDecision } from '@siskinbeam/crash-suspects/decideSuspectSend'
 import { ResultCode } from '@siskinbeam/result-codes/resultCode'
-import { readServerWeight } from '@siskinbeam/server-health/readServerWeight'
+import { readAvailableWeight } from '../servers/pausedServers.js'
 import { failRequest, schedule, type Dispatch } from './dispatchState.js'
 
 /** Calls `send`, now or later, with the server that a suspect must be sent to (undefined for any), or fails the request. */
@@ -11,7 +11,7 @@
   const decision = decideSuspectSend({
     state: host.crashes,
     fingerprint: dispatch.fingerprint(),
-    servers: [...service.servers.keys()].filter(name => readServerWeight(service.health, name, host.now()) > 0),
+    servers: [...service.servers.keys()].filter(name => readAvailableWeight(host, service, name) > 0),
     now: host.now()
   })
   const handlers: { [Kind in SendDecisionKind]: (decision: Extract<SendDecision, { kind: Kind }>) => void } = {
--- a/daemon/entry-host/src/servers/createServiceRuntimes.ts
+++ b/daemon/entry-host/src/servers/createServiceRuntimes.ts
@@ -9,6 +9,7 @@
 import { stepServerChoice } from '@siskinbeam/server-choice/stepServerChoice'
 import { createServerHealthState, HealthEventKind } from '@siskinbeam/server-health/healthState'
 import { stepServerHealth } from '@siskinbeam/server-health/stepServerHealth'
+import { createServerNotices } from '@siskinbeam/server-notices/serverNotices'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { chooseSubset } from '@siskinbeam/subsets/chooseSubset'
 import { ConnectionEventKind } from '@siskinbeam/connection-shares/connectionTypes'
@@ -72,7 +73,9 @@
     retryBudget: Object.assign(previous?.retryBudget ?? createRetryBudget({ budgetShare: configuration.retry.budgetShare, now: now() }), { budgetShare: configuration.retry.budgetShare }),
     hedging: previous !== undefined && previous.configuration.hedging.percentile === configuration.hedging.percentile && previous.configuration.hedging.enabled === configuration.hedging.enabled
       ? previous.hedging
-      : createHedgingState(configuration.hedging)
+      : createHedgingState(configuration.hedging),
+    notices: previous?.notices ?? createServerNotices(),
+    reportedPauses: previous?.reportedPauses ?? new Set()
   }
   const names = [...servers.keys()]
   stepServerChoice({ state: runtime.choice, event: { kind: ChoiceEventKind.ServersChanged, servers: subset.map(({ name, slots: serverSlots }) => ({ name, slots: serverSlots })) }, now: now() })
--- a/daemon/entry-host/src/servers/serviceRuntime.ts
+++ b/daemon/entry-host/src/servers/serviceRuntime.ts
@@ -8,6 +8,7 @@
 import type { ServerConfiguration, ServiceConfiguration } from '@siskinbeam/schema/bundle'
 import type { ServerChoiceState } from '@siskinbeam/server-choice/choiceState'
 import type { ServerHealthState } from '@siskinbeam/server-health/healthState'
+import type { ServerNotices } from '@siskinbeam/server-notices/serverNotices'
 import type { ServerConnections } from './serverConnections.js'
 
 /** A request that was written to a server and has no response yet. Times are monotonic milliseconds. */
@@ -60,4 +61,8 @@
   admissionRequests: Map<string, AdmissionCallbacks>
   retryBudget: RetryBudget
   hedging: HedgingState
+  /** Pauses that servers want from this host, by start of a server. */
+  notices: ServerNotices
+  /** Starts of servers whose pause had no meaning, which was logged. */
+  reportedPauses: Set<string>
 }
