Bound the health checks by what the users allow for each server

Cause: up to three servers are probed for each send, whatever the rate of requests; the known sites stay below since their servers get few requests.

Change: each host has its share of the bound as a token bucket (`limits/probe-share`), three quarters of it and ten seconds saved at the start.

--- a/daemon/platform-host/src/platformHost.ts
+++ b/daemon/platform-host/src/platformHost.ts
@@ -42,6 +42,8 @@
   limitedServers: LimitedServers
   /** Servers that leave or pause by their own word. */
   noticedServers: NoticedServers
+  /** Takes probes from this host's share. Returns how many of the wanted ones may be sent. */
+  takeProbes: (wanted: number) => number
   /** Requests that crash the servers that run them. */
   crashes: CrashDetection
   crashRows: CrashRows
--- a/daemon/platform-host/src/requestPath/chooseProbedServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseProbedServer.ts
@@ -1,4 +1,5 @@
-// Chooses the server for one send: probes a few servers for their load and picks the one expected to respond first.
+// Chooses the server for one send: probes a few servers for their load and picks the one expected to respond first. Without a probe
+// left in this host's share, it picks by what the host knows itself.
 import { selectServersToProbe } from '@siskinbeam/server-ranking/selectServersToProbe'
 import { computeSaturationSlowdown } from '@siskinbeam/server-ranking/saturationSlowdown'
 import { rankServers, type RankedServer, type ServerView } from '@siskinbeam/server-ranking/rankServers'
@@ -37,7 +38,9 @@
     const candidates = host.endpoints.listService(exchange.service)
       .filter(endpoint => endpoint.acceptsRequests() && host.noticedServers.isAvailable(endpoint.server) && !probed.has(endpoint) && host.limitedServers.find(endpoint.server) === undefined && (options.onlyAddress === undefined || endpoint.server.address === options.onlyAddress))
       .map(endpoint => ({ endpoint, sameDataCentre: endpoint.server.dataCentre === host.settings.dataCentre, preferred: endpoint.preferred, avoided: endpoint.backoffUntil > now }))
-    const endpoints = selectServersToProbe({ candidates, round, random: host.random }).map(({ endpoint }) => endpoint)
+    const selected = selectServersToProbe({ candidates, round, random: host.random }).map(({ endpoint }) => endpoint)
+    const endpoints = selected.slice(0, host.takeProbes(selected.length))
+    if (endpoints.length === 0 && earlier.length === 0) return rankProbed(selected.map(endpoint => describeUnprobed(endpoint, now)), exchange, serviceTimeMilliseconds)
     endpoints.forEach(endpoint => probed.add(endpoint))
     const results = await probeServers({ endpoints, healthPath, now: host.now, limitedServers: host.limitedServers, noticedServers: host.noticedServers, serverDeaths: host.serverDeaths, onProbed: outcome => host.metrics.count(`questions_total{outcome="${outcome}"}`) })
     const responsive = [...earlier, ...results].filter(({ endpoint }) => endpoint.acceptsRequests() && host.noticedServers.isAvailable(endpoint.server))
@@ -48,6 +51,18 @@
   return probeRound(0, [])
 }
 
+/** Describes a server whose load is not known but for the requests of this host. */
+export function describeUnprobed (endpoint: ServerEndpoint, now: number): ProbedServer {
+  return {
+    endpoint,
+    connection: undefined,
+    load: { running: endpoint.inFlight, waiting: 0, slots: endpoint.server.slots, slowdown: 1 },
+    isHealthy: true,
+    probedAt: now,
+    inFlightWhenProbed: endpoint.inFlight
+  }
+}
+
 export function rankProbed (responsive: ProbedServer[], exchange: GuestExchange, serviceTimeMilliseconds: number): RankedServer<ProbedServer> | undefined {
   const { host } = exchange
   const now = host.now()
--- a/daemon/platform-host/src/requestPath/chooseServer.ts
+++ b/daemon/platform-host/src/requestPath/chooseServer.ts
@@ -5,7 +5,7 @@
 import type { PermitResult } from '../dataCentre/permits.js'
 import type { ProbedServer } from '../servers/probeServers.js'
 import type { ServerEndpoint } from '../servers/serverEndpoint.js'
-import { chooseProbedServer, isGoodEnough, rankProbed, type ChooseProbedServerOptions } from './chooseProbedServer.js'
+import { chooseProbedServer, describeUnprobed, isGoodEnough, rankProbed, type ChooseProbedServerOptions } from './chooseProbedServer.js'
 import type { GuestExchange } from './guestExchange.js'
 
 export interface ServerChoice {
@@ -69,17 +69,7 @@
   if (delayMilliseconds > 0) await new Promise(resolve => setTimeout(resolve, delayMilliseconds))
   const endpoint = host.endpoints.listService(service).find(each => each.server.id === server.id && each.acceptsRequests() && host.noticedServers.isAvailable(each.server))
   if (endpoint === undefined || exchange.finished) return undefined
-  return rankProbed([describeUnprobed(endpoint, host.now())], exchange, serviceTimeMilliseconds)
-}
-
-/** A server within its limit is expected to start a request at once. */
-function describeUnprobed (endpoint: ServerEndpoint, now: number): ProbedServer {
-  return {
-    endpoint,
-    connection: undefined,
-    load: { running: 0, waiting: 0, slots: endpoint.server.slots, slowdown: 1 },
-    isHealthy: true,
-    probedAt: now,
-    inFlightWhenProbed: endpoint.inFlight
-  }
+  // A server within its limit is expected to start a request at once.
+  const unprobed = describeUnprobed(endpoint, host.now())
+  return rankProbed([{ ...unprobed, load: { ...unprobed.load, running: 0 } }], exchange, serviceTimeMilliseconds)
 }
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -11,6 +11,7 @@
 import type { HostSettings } from '@siskinbeam/platform-adapter/readHostSettings'
 import { sleep, type ProcessBody } from '@siskinbeam/processes/channels'
 import { superviseProcess } from '@siskinbeam/processes/superviseProcess'
+import { createProbeShare, takeProbes } from '@siskinbeam/probe-share/probeShare'
 import { createRandom, sample } from '@siskinbeam/random/createRandom'
 import { createRetryShare, recordFirstSend, takeFurtherSend } from '@siskinbeam/retry-share/retryShare'
 import { createCorrectionState } from '@siskinbeam/server-ranking/estimateCorrection'
@@ -67,6 +68,8 @@
 const suspectCheckMilliseconds = 1_000
 /** Ratio of the retry budget that a host uses; below 1, since each host counts only its own sends. */
 const usableBudgetRatio = 0.9
+/** Ratio of the health checks that a host uses; below 1, since guests are not spread evenly and the share starts with ten seconds of it saved. */
+const usableProbeRatio = 0.75
 
 /** Starts the host. Rejects if a listener cannot be bound. */
 export async function startPlatformHost (options: StartPlatformHostOptions): Promise<RunningPlatformHost> {
@@ -82,6 +85,9 @@
   let lastFollowerCallAt = -Infinity
 
   const sourceSelection = createSourceSelection({ name: settings.host, peerAddress: settings.peerAddress, guestAddress: settings.guestAddress, processorShare: settings.processorShare })
+  /** Number of entry hosts, on the assumption that the data centres have equally many. */
+  const countHosts = (): number => sourceSelection.hosts.size * settings.dataCentres.length
+  const probeShare = createProbeShare(now())
   const retryBudgetOf = memoizeByName(createRetryShare)
   const endpoints = createServerEndpoints({
     host: settings.host,
@@ -119,6 +125,11 @@
     endpoints,
     limitedServers: createLimitedServers({ logger, count: metrics.count, now, findServer: id => view.registry.servers.get(id)?.server, onChange: () => peerServer.answerChanged() }),
     noticedServers: createNoticedServers({ logger, count: metrics.count, now, random, findServer: id => view.registry.servers.get(id)?.server, onLeaving: () => peerServer.answerChanged() }),
+    takeProbes: wanted => takeProbes(probeShare, {
+      wanted,
+      perSecond: settings.maximumProbesPerSecond * usableProbeRatio * Math.max(1, view.registry.servers.size) / countHosts(),
+      now: now()
+    }),
     crashes,
     crashRows,
     serverDeaths: createServerDeaths({ now, onDeath: death => crashRows.write(crashes.recordDeath(death)) }),
@@ -135,7 +146,7 @@
       recordFirstSend: service => recordFirstSend(retryBudgetOf(service), now()),
       tryTake: (service, purpose) => takeFurtherSend(retryBudgetOf(service), {
         ratio: settings.retryRatio * usableBudgetRatio,
-        fixedSends: settings.minimumRetriesPerWindow * usableBudgetRatio / (sourceSelection.hosts.size * settings.dataCentres.length),
+        fixedSends: settings.minimumRetriesPerWindow * usableBudgetRatio / countHosts(),
         windowMilliseconds: settings.retryWindowMilliseconds
       }, purpose, now())
     }
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -160,6 +160,7 @@
       processorShare: 1,
       retryRatio: 0.2,
       retryWindowMilliseconds: 10_000,
+      maximumProbesPerSecond: 60,
       minimumRetriesPerWindow: 75,
       addressTimeToLiveSeconds: 2,
       graceMilliseconds: 6_000,
