--- a/daemon/platform-host/test/requestLimits.test.ts
+++ b/daemon/platform-host/test/requestLimits.test.ts
@@ -2,22 +2,12 @@
 // guest has left, bodies above the limit, and idle connections that are closed too early.
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { describeConfiguration, respondNormally, sendRequest, startPlatform, startServer, waitUntil, type ScriptedServer, type ServerScript, type TestPlatform } from './support/startPlatform.js'
+import { describeConfiguration, respondNormally, sendRequest, waitUntil, withServers, type ServerScript } from './support/startPlatform.js'
 
 const maximumAttempts = 2
 /** The users allow a deadline that is longer than the guest's by this much. */
 const deadlineToleranceMilliseconds = 500
 
-async function withServers (scripts: ServerScript[], run: (platform: TestPlatform, servers: ScriptedServer[], address: string) => Promise<void>): Promise<void> {
-  const servers = await Promise.all(scripts.map(script => startServer(script)))
-  const platform = await startPlatform(servers)
-  try {
-    await run(platform, servers, platform.settings[0]?.guestAddress ?? '')
-  } finally {
-    await platform.stop()
-  }
-}
-
 const failing: ServerScript = (request, response) => {
   response.writeHead(500, { 'x-request-id': String(request.headers['x-request-id']), 'x-response-signature': 'signed', 'content-length': 0 }).end()
 }
--- a/daemon/platform-host/test/requestPath.test.ts
+++ b/daemon/platform-host/test/requestPath.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict'
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
-import { respondNormally, sendRequest, describeConfiguration, describeEntry, pause, startPlatform, startServer, waitUntil, type GuestResponse, type ScriptedServer, type ServerScript, type TestPlatform } from './support/startPlatform.js'
+import { respondNormally, sendRequest, describeConfiguration, describeEntry, pause, waitUntil, withServers, type GuestResponse, type ScriptedServer, type ServerScript } from './support/startPlatform.js'
 
 const notExecuted: ServerScript = (request, response) => {
   response.writeHead(503, { 'x-not-executed': '1', 'x-request-id': String(request.headers['x-request-id']), 'content-length': 0 }).end()
@@ -13,16 +13,6 @@
   response.write('half of the ans', () => response.socket?.destroy())
 }
 
-async function withServers (scripts: ServerScript[], run: (platform: TestPlatform, servers: ScriptedServer[], address: string) => Promise<void>): Promise<void> {
-  const servers = await Promise.all(scripts.map(script => startServer(script)))
-  const platform = await startPlatform(servers)
-  try {
-    await run(platform, servers, platform.settings[0]?.guestAddress ?? '')
-  } finally {
-    await platform.stop()
-  }
-}
-
 const countReceived = (servers: ScriptedServer[]): number => servers.reduce((sum, { received }) => sum + received.length, 0)
 
 test('method, path, query, body and headers reach the server unchanged, and its response reaches the guest', () => withServers([respondNormally], async (platform, servers, address) => {
--- a/daemon/platform-host/test/support/startPlatform.ts
+++ b/daemon/platform-host/test/support/startPlatform.ts
@@ -188,6 +188,17 @@
   return platform
 }
 
+/** Starts one host and a server for each script, passes the guests' address of the host, and stops everything afterwards. */
+export async function withServers (scripts: ServerScript[], run: (platform: TestPlatform, servers: ScriptedServer[], address: string) => Promise<void>): Promise<void> {
+  const servers = await Promise.all(scripts.map(script => startServer(script)))
+  const platform = await startPlatform(servers)
+  try {
+    await run(platform, servers, platform.settings[0]?.guestAddress ?? '')
+  } finally {
+    await platform.stop()
+  }
+}
+
 export interface GuestResponse {
   status: number
   headers: IncomingMessage['headers']
