Prove what servers with lying health checks, silent connections and jumps of the time of day may do

With the fallback to unhealthy servers taken out the first fails, with the time of day in place of the monotonic clock the third.

--- a/daemon/platform-host/test/dataCentre.test.ts
+++ b/daemon/platform-host/test/dataCentre.test.ts
@@ -285,3 +285,25 @@
   assert.ok(!platform.logs.some(line => line.includes('event="process failed"') || line.includes('event="request path failed"')))
   joined.stop()
 }))
+
+test('jumps of the time of day change nothing', () => withHosts(2, 2, async (platform, servers) => {
+  const [leaving] = servers as [ScriptedServer]
+  const realNow = Date.now
+  let calls = 0
+  Date.now = () => {
+    calls += 1
+    return realNow() + (calls % 2 === 0 ? 3_600_000 : -3_600_000)
+  }
+  try {
+    platform.store.put('op', 'config', describeConfiguration(9))
+    platform.store.put('servers', leaving.id, describeEntry(leaving, { state: 'draining' }))
+    await waitUntil('version 9 is active', () => activeVersions(platform).every(version => version === 9))
+    await waitUntil('the drain has reached all hosts', () => platform.hosts.every(host => host.dump().includes('"draining"')))
+    const responses = await Promise.all(platform.settings.flatMap(({ guestAddress }, host) => Array.from({ length: 10 }, (_, index) => sendRequest(guestAddress, '/reads/7', { id: `r-${host}-${index}` }))))
+    assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200))
+    assert.equal(leaving.received.length, 0)
+    assert.deepEqual(await Promise.all(platform.settings.map(async (_, index) => (await addressesOf(platform, index)).length)), [2, 2])
+  } finally {
+    Date.now = realNow
+  }
+}))
--- a/daemon/platform-host/test/serversInTrouble.test.ts
+++ b/daemon/platform-host/test/serversInTrouble.test.ts
@@ -8,6 +8,8 @@
 
 /** Limit on the memory of a host for everything but the bodies that it forwards. */
 const memoryLimitBytes = 134_217_728
+/** Time after which a disturbance of the connections excuses nothing any more. */
+const settlingMilliseconds = 3_000
 const blockBytes = 65_536
 const blockIntervalMilliseconds = 2
 
@@ -127,3 +129,48 @@
 }], async address => {
   for (let index = 0; index < 4; index += 1) assert.equal((await sendRequest(address, '/bookings/7', { method: 'POST', id: `r-${index}` })).status, 502)
 }))
+
+// Open connections may go silent for good while new ones work, which only a timeout shows.
+test('after all open connections to the servers have gone silent, requests are soon served again', async context => {
+  const servers = await Promise.all([0, 1, 2].map(() => startServer()))
+  servers.forEach(server => { server.script = (request, response) => { setTimeout(respondNormally, 60, request, response) } })
+  const platform = await startPlatform(servers)
+  try {
+    const address = platform.settings[0]?.guestAddress ?? ''
+    const burst = await Promise.all(Array.from({ length: 60 }, (_, index) => sendRequest(address, `/reads/${index}`, { id: `b-${index}` })))
+    assert.ok(burst.filter(({ status }) => status === 200).length > 0)
+    const silent = servers.flatMap(({ sockets }) => [...sockets])
+    context.diagnostic(`${silent.length} connections go silent`)
+    silent.forEach(socket => {
+      socket.removeAllListeners('data')
+      socket.pause()
+    })
+    const silencedAt = performance.now()
+    const sent: Array<Promise<{ at: number, status: number }>> = []
+    while (performance.now() < silencedAt + 6_000) {
+      const at = performance.now() - silencedAt
+      sent.push(sendRequest(address, `/reads/s-${sent.length}`, { id: `s-${sent.length}` }).then(({ status }) => ({ at, status })))
+      await new Promise(resolve => setTimeout(resolve, 50))
+    }
+    const responses = await Promise.all(sent)
+    const late = responses.filter(({ at, status }) => at > settlingMilliseconds && status !== 200)
+    context.diagnostic(`not served: ${responses.filter(({ status }) => status !== 200).length} of ${responses.length}, the last after ${Math.round(Math.max(0, ...responses.filter(({ status }) => status !== 200).map(({ at }) => at)))} ms`)
+    assert.equal(late.length, 0)
+  } finally {
+    await platform.stop()
+    servers.flatMap(({ sockets }) => [...sockets]).forEach(socket => socket.destroy())
+  }
+})
+
+test('servers whose health checks fail although they serve are used if no others are left', async () => {
+  const servers = await Promise.all([0, 1].map(() => startServer()))
+  const platform = await startPlatform(servers)
+  try {
+    servers.forEach(server => { server.healthStatus = 503 })
+    const address = platform.settings[0]?.guestAddress ?? ''
+    const responses = await Promise.all(Array.from({ length: 20 }, (_, index) => sendRequest(address, `/bookings/${index}`, { method: 'POST', id: `h-${index}` })))
+    assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200))
+  } finally {
+    await platform.stop()
+  }
+})
