--- a/bench/micro/src/benchmarkRecord.ts
+++ b/bench/micro/src/benchmarkRecord.ts
@@ -24,6 +24,8 @@
   CrashSuspectCheck = 'crash-suspect-check',
   RequestHeadCheck = 'request-head-check',
   PermitDecision = 'permit-decision',
+  NoticeCheck = 'notice-check',
+  ProbeShare = 'probe-share',
   PlainCall = 'plain-call',
   ChannelRoundTrip = 'channel-round-trip',
   ServiceStateMemory = 'service-state-memory',
--- a/bench/micro/src/runMicro.ts
+++ b/bench/micro/src/runMicro.ts
@@ -11,6 +11,7 @@
 import { measureLimits } from './measureLimits.js'
 import { measureMembership } from './measureMembership.js'
 import { measureMemory } from './measureMemory.js'
+import { measureNotices } from './measureNotices.js'
 import { measureRouting } from './measureRouting.js'
 import type { Measurement, BenchmarkRecord } from './benchmarkRecord.js'
 import { formatRecord } from './formatRecord.js'
@@ -31,6 +32,7 @@
   { title: 'routing and limits', measure: () => measureRouting(sampling) },
   { title: 'heads of messages', measure: () => measureHeads(sampling) },
   { title: 'limits that servers name', measure: () => measureLimits(sampling) },
+  { title: 'notices of servers', measure: () => measureNotices(sampling) },
   { title: 'claims', measure: () => measureClaims(sampling) },
   { title: 'membership', measure: () => measureMembership(sampling) },
   { title: 'channels', measure: () => measureChannels(sampling) },
