Do not count a server as ended that leaves without an announcement

What callers saw: an innocent request can be refused as one that crashes servers. Some servers never announce that they leave: their entry is removed and they go on serving. Cause: the removal alone counted as the end of the server, with the sends of the last ten seconds that had timed out as evidence and, since, those that were cancelled.

Change: after a removal the host checks that the server accepts no connection; another start under the same ID still counts at once.

--- a/daemon/platform-host/src/servers/serverDeaths.ts
+++ b/daemon/platform-host/src/servers/serverDeaths.ts
@@ -1,7 +1,7 @@
 // Detects that a server has ended while requests were in flight on it. After a send whose connection broke, the server counts as
 // ended if all its earlier connections are closed and it accepts no new ones. A server that resets new connections since it is full
-// keeps the earlier ones, and one that leaves as planned announces that. A server whose connections fall silent counts as ended when
-// its entry is replaced or expires. A send that is cancelled closes its connection, so its server is checked when it next refuses one.
+// keeps the earlier ones, and one that leaves as planned mostly announces that. A server whose connections fall silent counts as ended
+// when its entry is replaced by another start, or is removed and the server accepts no connection. A send that is cancelled closes its connection, so its server is checked when it next refuses one.
 import { connect } from 'node:net'
 import { splitAddress } from '@siskinbeam/settings/splitAddress'
 import { fingerprintRequest, type IdentifiedRequest } from '../crashes/fingerprintRequest.js'
@@ -39,8 +39,8 @@
   recordCancel: (endpoint: ServerEndpoint, send: OpenSend) => void
   /** Checks a server that refused a connection, if sends to it have been cancelled shortly before. */
   recordRefusal: (endpoint: ServerEndpoint) => void
-  /** Records that the entry of a server was replaced or removed without an announcement. */
-  recordLoss: (endpoint: ServerEndpoint) => void
+  /** Records that the entry of a server was removed without an announcement, or replaced by that of another start. */
+  recordLoss: (endpoint: ServerEndpoint, isReplaced: boolean) => void
   /** Checks the server of a send that broke. Resolves once the check and the handling of a death are complete. */
   recordBreak: (endpoint: ServerEndpoint, send: OpenSend) => Promise<void>
 }
@@ -64,6 +64,14 @@
   pendingCheck: Promise<void> | undefined
 }
 
+/** Whether the listener of a server takes a new connection. */
+enum Reachability {
+  Accepted,
+  Refused,
+  /** Without an answer, the server may be alive behind a broken path. */
+  Silent
+}
+
 /** Connections of a process that ends are closed one after the other, and its listening socket last. */
 const closeDelayMilliseconds = 5
 /** Sends that broke or were cancelled within this time before a check were in flight when the server ended. */
@@ -74,7 +82,6 @@
 const maximumEndedSends = 16
 /** A connection that is reset right after it was accepted leads to no server. */
 const acceptedMilliseconds = 25
-/** Without an answer for this time, the server may be alive behind a broken path. */
 const connectTimeoutMilliseconds = 250
 
 /** Creates a record without sends. */
@@ -91,7 +98,7 @@
   const check = async (endpoint: ServerEndpoint, sends: ServerSends, brokenAt: number): Promise<void> => {
     await new Promise(resolve => setTimeout(resolve, closeDelayMilliseconds))
     if (!endpoint.acceptsRequests()) return
-    if (endpoint.hasConnectionSince(brokenAt) || await acceptsConnections(endpoint.server.address)) {
+    if (endpoint.hasConnectionSince(brokenAt) || await tryConnection(endpoint.server.address) !== Reachability.Refused) {
       // The server may have been restarted faster than it could be checked.
       sends.unanswered = [...sends.unanswered, ...sends.broken.splice(0)].slice(-maximumEndedSends)
       return
@@ -123,11 +130,14 @@
       const sends = findSends(endpoint)
       if (listRecent(sends.cancelled).length > 0) startCheck(endpoint, sends).catch(() => {})
     },
-    recordLoss: endpoint => {
+    recordLoss: (endpoint, isReplaced) => {
       const { unanswered: timedOut, cancelled } = findSends(endpoint)
       const unanswered = listRecent([...timedOut.splice(0), ...cancelled.splice(0)], lossWindowMilliseconds)
       if (unanswered.length === 0) return
-      onDeath({ endpoint, at: Math.min(...unanswered.map(({ endedAt }) => endedAt)), inFlight: unanswered }).catch(() => {})
+      const at = Math.min(...unanswered.map(({ endedAt }) => endedAt))
+      // Some servers leave without an announcement and go on serving for a while after their entry was removed.
+      const hasEnded = isReplaced ? Promise.resolve(true) : tryConnection(endpoint.server.address).then(reachability => reachability !== Reachability.Accepted)
+      hasEnded.then(ended => ended ? onDeath({ endpoint, at, inFlight: unanswered }) : undefined).catch(() => {})
     },
     recordBreak: (endpoint, send) => {
       const sends = findSends(endpoint)
@@ -142,22 +152,22 @@
   return { requestId: request.requestId, fingerprint: fingerprintRequest(request), sentAt }
 }
 
-function acceptsConnections (address: string): Promise<boolean> {
+function tryConnection (address: string): Promise<Reachability> {
   return new Promise(resolve => {
     const socket = connect(splitAddress(address))
-    const finish = (accepts: boolean): void => {
+    const finish = (reachability: Reachability): void => {
       clearTimeout(timer)
       socket.destroy()
-      resolve(accepts)
+      resolve(reachability)
     }
-    let timer = setTimeout(finish, connectTimeoutMilliseconds, true)
+    let timer = setTimeout(finish, connectTimeoutMilliseconds, Reachability.Silent)
     socket.on('connect', () => {
       clearTimeout(timer)
-      timer = setTimeout(finish, acceptedMilliseconds, true)
+      timer = setTimeout(finish, acceptedMilliseconds, Reachability.Accepted)
     })
-    socket.on('error', () => finish(false))
+    socket.on('error', () => finish(Reachability.Refused))
     // Without reading, the end of the connection would go unnoticed.
     socket.resume()
-    socket.on('close', () => finish(false))
+    socket.on('close', () => finish(Reachability.Refused))
   })
 }
--- a/daemon/platform-host/src/servers/serverEndpoints.ts
+++ b/daemon/platform-host/src/servers/serverEndpoints.ts
@@ -24,7 +24,7 @@
   now: () => number
   onConnectionOpened: () => void
   /** Called when the entry of a server that had not announced to leave is replaced or removed. */
-  onLost: (endpoint: ServerEndpoint) => void
+  onLost: (endpoint: ServerEndpoint, isReplaced: boolean) => void
 }
 
 /** Creates an empty collection. */
@@ -55,7 +55,7 @@
       return [server.service]
     }
     if (existing !== undefined) {
-      if (existing.server.state === ServerState.Ready) options.onLost(existing)
+      if (existing.server.state === ServerState.Ready) options.onLost(existing, server !== undefined)
       existing.close()
       endpoints.delete(id)
       removeFromService(existing)
--- a/daemon/platform-host/src/startPlatformHost.ts
+++ b/daemon/platform-host/src/startPlatformHost.ts
@@ -96,7 +96,7 @@
     dataCentres: settings.dataCentres.length,
     now,
     onConnectionOpened: () => metrics.count('server_connections_total'),
-    onLost: endpoint => host.serverDeaths.recordLoss(endpoint)
+    onLost: (endpoint, isReplaced) => host.serverDeaths.recordLoss(endpoint, isReplaced)
   })
   const view = createView({
     logger,
--- /dev/null
+++ b/daemon/platform-host/test/innocentRequests.test.ts
@@ -0,0 +1,48 @@
+// Guards against requests that are refused as crashing servers although their servers only left.
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { describeEntry, pause, respondNormally, sendRequest, startPlatform, startServer, type GuestResponse, type ScriptedServer } from './support/startPlatform.js'
+
+const workMilliseconds = 60
+const leavingGuestMilliseconds = 40
+const releaseIntervalMilliseconds = 300
+const requestIntervalMilliseconds = 25
+const serverCount = 20
+const dataCentres = ['north', 'south']
+
+test('requests whose guests leave early are not refused while servers leave without an announcement', async context => {
+  const servers = await Promise.all(Array.from({ length: serverCount }, () => startServer((request, response) => { setTimeout(respondNormally, workMilliseconds, request, response) })))
+  const platform = await startPlatform([], 0)
+  servers.forEach(server => platform.store.put('servers', server.id, describeEntry(server)))
+  try {
+    for (const dataCentre of [...dataCentres, ...dataCentres]) await platform.startHost({ dataCentre, dataCentres })
+    await pause(500)
+    const sent: Array<Promise<GuestResponse>> = []
+    let released = 0
+    const timer = setInterval(() => {
+      // The server goes on serving, as one does that leaves without saying so.
+      const server = servers[released] as ScriptedServer | undefined
+      released += 1
+      if (server !== undefined && released <= serverCount - 6) platform.store.remove('servers', server.id)
+    }, releaseIntervalMilliseconds)
+    const end = performance.now() + releaseIntervalMilliseconds * serverCount
+    for (let index = 0; performance.now() < end; index += 1) {
+      const address = platform.settings[index % platform.settings.length]?.guestAddress ?? ''
+      // One guest repeats the same request and leaves each time; others send a popular one, or one of their own.
+      if (index % 4 === 0) sendRequest(address, '/reads/left', { id: `l-${index}`, disconnectAfterMilliseconds: leavingGuestMilliseconds }).catch(() => {})
+      else if (index % 4 === 1) sent.push(sendRequest(address, '/reads/popular', { id: `p-${index}` }))
+      else if (index % 40 === 2) sent.push(sendRequest(address, '/reads/left', { id: `s-${index}` }))
+      else sent.push(sendRequest(address, `/reads/${index}`, { id: `o-${index}` }))
+      await pause(requestIntervalMilliseconds)
+    }
+    clearInterval(timer)
+    const refused = (await Promise.all(sent)).filter(({ body }) => body.includes('"code":208'))
+    const blamed = platform.logs.filter(line => line.includes('request blamed for crashes'))
+    const deaths = platform.logs.filter(line => line.includes('event="server died"'))
+    context.diagnostic(`${refused.length} of ${sent.length} refused, blamed ${blamed.length} times, ${deaths.length} deaths`)
+    assert.deepEqual([refused.length, blamed.length, deaths.length], [0, 0, 0])
+  } finally {
+    await platform.stop()
+    servers.forEach(server => server.stop())
+  }
+})
