Do not take full servers for ended ones when sends were cancelled

What callers saw: an innocent request whose guests leave early is refused with 208 while servers are full. Own test, six servers without a free slot that reset new connections by turns: two were counted as ended in each of two runs and the request was blamed, so only 9 and 10 of its copies were sent. Cause: since a server that refuses a connection within a second after a cancelled send is checked, and a full server looks like one that has ended if this host has no other connection to it.

Change: a send that is cancelled at a server without a free slot counts only if its entry is replaced or removed.

--- a/daemon/platform-host/src/requestPath/sendToServer.ts
+++ b/daemon/platform-host/src/requestPath/sendToServer.ts
@@ -6,7 +6,7 @@
 import { ContactPurpose } from '../servers/limitedServers.js'
 import type { ProbedServer } from '../servers/probeServers.js'
 import type { OpenSend } from '../servers/serverDeaths.js'
-import { recordSendOutcome, recordUnreachable, type ServerEndpoint } from '../servers/serverEndpoint.js'
+import { recordSendOutcome, recordUnreachable } from '../servers/serverEndpoint.js'
 import { selectEndToEndHeaders } from './endToEndHeaders.js'
 import type { GuestExchange } from './guestExchange.js'
 
@@ -84,27 +84,29 @@
   cancels.forEach(cancel => exchange.cancelSends.delete(cancel))
   recordStatements(exchange, endpoint.server, purpose, result, sentAt)
   const sent = classify(result)
-  recordSendEnd(exchange, endpoint, send, result)
+  recordSendEnd(exchange, probed, send, result)
   host.metrics.count(`sends_total{outcome="${sent.outcome}"}`)
   if (sent.outcome === SendOutcome.Responded) host.metrics.recordMilliseconds('server_answer', host.now() - sentAt)
   recordOutcome(exchange, probed, sent)
   return sent
 }
 
-const sendEndRecorders: Record<ExchangeOutcome, (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend) => void> = {
-  [ExchangeOutcome.Responded]: ({ host }, endpoint, send) => host.serverDeaths.recordEnd(endpoint, send),
-  [ExchangeOutcome.NotSent]: ({ host }, endpoint, send) => {
+const sendEndRecorders: Record<ExchangeOutcome, (exchange: GuestExchange, probed: ProbedServer, send: OpenSend) => void> = {
+  [ExchangeOutcome.Responded]: ({ host }, { endpoint }, send) => host.serverDeaths.recordEnd(endpoint, send),
+  [ExchangeOutcome.NotSent]: ({ host }, { endpoint }, send) => {
     host.serverDeaths.recordEnd(endpoint, send)
     host.serverDeaths.recordRefusal(endpoint)
   },
-  [ExchangeOutcome.Broken]: (exchange, endpoint, send) => { exchange.deathCheck = exchange.host.serverDeaths.recordBreak(endpoint, send) },
-  [ExchangeOutcome.TimedOut]: ({ host }, endpoint, send) => host.serverDeaths.recordTimeout(endpoint, send),
-  [ExchangeOutcome.Cancelled]: ({ host }, endpoint, send) => host.serverDeaths.recordCancel(endpoint, send)
+  [ExchangeOutcome.Broken]: (exchange, { endpoint }, send) => { exchange.deathCheck = exchange.host.serverDeaths.recordBreak(endpoint, send) },
+  [ExchangeOutcome.TimedOut]: ({ host }, { endpoint }, send) => host.serverDeaths.recordTimeout(endpoint, send),
+  // A full server refuses connections without having ended, so only its entry can tell.
+  [ExchangeOutcome.Cancelled]: ({ host }, { endpoint, load }, send) => isFull(load) ? host.serverDeaths.recordTimeout(endpoint, send) : host.serverDeaths.recordCancel(endpoint, send)
 }
 
 /** Records whether the server ended during the send. A response that is streamed lasts until its end. */
-function recordSendEnd (exchange: GuestExchange, endpoint: ServerEndpoint, send: OpenSend, result: ExchangeResult): void {
+function recordSendEnd (exchange: GuestExchange, probed: ProbedServer, send: OpenSend, result: ExchangeResult): void {
   const { serverDeaths } = exchange.host
+  const { endpoint } = probed
   const received = result.outcome === ExchangeOutcome.Responded ? result.received : undefined
   const { rest } = received ?? {}
   if (received !== undefined && rest !== undefined) {
@@ -113,7 +115,7 @@
     rest.stream.once('close', () => serverDeaths.recordEnd(endpoint, send))
     return
   }
-  sendEndRecorders[result.outcome](exchange, endpoint, send)
+  sendEndRecorders[result.outcome](exchange, probed, send)
   if (received !== undefined) recordCompletion(exchange, received)
 }
 
@@ -160,13 +162,18 @@
   if ('received' in sent) sent.received.rest?.discard()
 }
 
+/** Whether the server had no free slot when it was probed. */
+function isFull ({ running, waiting, slots }: ProbedServer['load']): boolean {
+  return running + waiting >= slots
+}
+
 const failedOutcomes = new Set([SendOutcome.Failed, SendOutcome.NotExecuted, SendOutcome.Broken, SendOutcome.TimedOut])
 
 function recordOutcome (exchange: GuestExchange, { endpoint, load }: ProbedServer, sent: SendResult): void {
   const { host } = exchange
   const failed = failedOutcomes.has(sent.outcome)
   // A full server resets connections without being ill, and one that wants a pause is not ill either.
-  const isConclusive = sent.outcome !== SendOutcome.Cancelled && !(failed && (load.running + load.waiting >= load.slots || !host.noticedServers.isAvailable(endpoint.server)))
+  const isConclusive = sent.outcome !== SendOutcome.Cancelled && !(failed && (isFull(load) || !host.noticedServers.isAvailable(endpoint.server)))
   if (sent.outcome === SendOutcome.NotSent) recordUnreachable(endpoint, host.now())
   if (isConclusive) {
     recordSendOutcome(endpoint, failed)
--- a/daemon/platform-host/test/innocentRequests.test.ts
+++ b/daemon/platform-host/test/innocentRequests.test.ts
@@ -46,3 +46,31 @@
     servers.forEach(server => server.stop())
   }
 })
+
+test('requests whose guests leave early are not refused while full servers reset new connections', async context => {
+  const servers = await Promise.all(Array.from({ length: 6 }, () => startServer((request, response) => { setTimeout(respondNormally, workMilliseconds, request, response) })))
+  const platform = await startPlatform(servers, 3)
+  try {
+    servers.forEach(server => { server.load = '3,1,3,100' })
+    let full = 0
+    const timer = setInterval(() => {
+      servers.forEach((server, index) => { server.resetsConnections = index % 2 === full % 2 })
+      full += 1
+    }, releaseIntervalMilliseconds)
+    const end = performance.now() + 6_000
+    for (let index = 0; performance.now() < end; index += 1) {
+      const address = platform.settings[index % platform.settings.length]?.guestAddress ?? ''
+      sendRequest(address, '/reads/left', { id: `l-${index}`, disconnectAfterMilliseconds: leavingGuestMilliseconds }).catch(() => {})
+      await pause(requestIntervalMilliseconds * 2)
+    }
+    clearInterval(timer)
+    const deaths = platform.logs.filter(line => line.includes('event="server died"'))
+    const blamed = platform.logs.filter(line => line.includes('request blamed for crashes'))
+    const sent = servers.reduce((sum, { received }) => sum + received.length, 0)
+    context.diagnostic(`${sent} sends, blamed ${blamed.length} times, ${deaths.length} deaths`)
+    assert.ok(sent > 0)
+    assert.deepEqual([blamed.length, deaths.length], [0, 0])
+  } finally {
+    await platform.stop()
+  }
+})
