--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -80,6 +80,9 @@
   const children = new Set()
   for (const host of hosts) host.storeAddress = await storeAddressOf(store, host)
 
+  // Nothing outlives a case that fails itself.
+  process.once('exit', () => children.forEach(child => child.kill('SIGKILL')))
+
   const start = host => {
     const path = join(settingsFolder, `${host.name}.env`)
     writeFileSync(path, renderSettings({
--- a/review/harness-2/endpoint.mjs
+++ b/review/harness-2/endpoint.mjs
@@ -52,6 +52,10 @@
         record('rejected', { endpoint: id, request: requestId, why })
         response.writeHead(status, { ...loadOf(), 'x-request-id': requestId, 'x-not-executed': '1', 'content-length': 0, ...more }).end()
       }
+      if (requestId === undefined) {
+        response.writeHead(400, { ...loadOf(), 'x-not-executed': '1', 'content-length': 0 }).end()
+        return
+      }
       if (request.headers['x-expect-instance'] !== undefined && request.headers['x-expect-instance'] !== id) return reject(421, 'another instance')
       const decision = decide(request)
       if (decision.shed) return reject(503, 'shed', decision.headers)
@@ -77,6 +81,12 @@
   return {
     id,
     address,
+    /** Announces that the endpoint leaves, or has its entry removed without a word. It goes on serving. */
+    leave: isAnnounced => {
+      clearInterval(heartbeat)
+      if (isAnnounced) write('draining')
+      else store.remove('servers', id)
+    },
     stop: () => {
       clearInterval(heartbeat)
       server.close()
