Show that hosts cut off from endpoints that name limits don't notice it

Cause: endpoints with a limit are not probed, so a cut shows only in sends with a permit, of which each host gets few; until three were silent, requests are refused instead of forwarded.

--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -41,13 +41,19 @@
   }
 }
 
+/** Free ports below those that the system gives to outgoing connections, which could take one before a host is up. */
 async function findFreePorts (count) {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise(resolve => {
+  const isFree = port => new Promise(resolve => {
     const server = createServer()
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map(server => server.address().port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+  const ports = []
+  let port = 12_000 + Math.floor(Math.random() * 18_000)
+  while (ports.length < count) {
+    port += 1
+    if (await isFree(port)) ports.push(port)
+  }
   return ports
 }
 
--- a/review/harness-2/rowStore.mjs
+++ b/review/harness-2/rowStore.mjs
@@ -54,7 +54,16 @@
       reply(200, {})
     }
   }
-  const server = createServer((request, response) => {
+  const servers = []
+  /** Opens a listener. Its callers see the rows as `rewrite` returns them, for example with the addresses that lead from their zone. */
+  const listen = async (rewrite = row => row) => {
+    const server = createServer((request, response) => serve(request, response, rewrite))
+    server.keepAliveTimeout = 60_000
+    await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
+    servers.push(server)
+    return `127.0.0.1:${server.address().port}`
+  }
+  const serve = (request, response, rewrite) => {
     response.on('error', () => {})
     const chunks = []
     request.on('data', chunk => chunks.push(chunk))
@@ -64,21 +73,21 @@
       const reply = (status, fields) => {
         if (response.destroyed) return
         response.writeHead(status, { 'content-type': 'application/json', 'store-era': '1' })
-        response.end(JSON.stringify({ ...fields, rowVersion: version, nowS: performance.now() / 1_000 }))
+        const rows = fields.rows === undefined ? {} : { rows: fields.rows.map(rewrite) }
+        response.end(JSON.stringify({ ...fields, ...rows, rowVersion: version, nowS: performance.now() / 1_000 }))
       }
       if (handle === undefined) reply(404, {})
       else handle(url.searchParams, Buffer.concat(chunks).toString('utf8'), reply)
     })
-  })
-  server.keepAliveTimeout = 60_000
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
+  }
   return {
-    address: `127.0.0.1:${server.address().port}`,
+    address: await listen(),
+    listen,
     put: (tableName, key, value) => apply([{ tableName, key, value: Buffer.from(JSON.stringify(value)).toString('base64') }], []),
     remove: (tableName, key) => apply([], [{ tableName, key }]),
-    close: () => {
+    close: () => servers.forEach(server => {
       server.close()
       server.closeAllConnections()
-    }
+    })
   }
 }
