--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -10,6 +10,8 @@
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
 export const guestHost = 'desk.example'
+/** A case that takes longer could not run. */
+const maximumMilliseconds = 110_000
 
 export const pause = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
 
@@ -203,6 +205,8 @@
 /** Runs a case and ends the process with its result: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export async function runCase (run) {
   let code = 2
+  ;['SIGTERM', 'SIGINT', 'SIGHUP'].forEach(signal => process.on(signal, () => process.exit(code)))
+  setTimeout(() => process.exit(code), maximumMilliseconds).unref()
   try {
     code = await run(process.env.TROUBLE !== '0')
   } catch (error) {
